--- a/thornhitch/__init__.py
+++ b/sageturn/__init__.py
@@ -1,6 +1,6 @@
-"""thornhitch: the decisions of a balancer for long-lived connections."""
+"""sageturn: the decisions of a balancer for long-lived connections."""
 
-from thornhitch.interface import (
+from sageturn.interface import (
     Action,
     Cancel,
     ClientGone,
@@ -23,7 +23,7 @@
     Timer,
     Watch,
 )
-from thornhitch.rules import Balancer
+from sageturn.rules import Balancer
 
 __all__ = [
     "Action",
--- a/thornhitch/rules.py
+++ b/sageturn/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of a thornhitch balancer. Settings, events and actions: see interface.py.
+"""All decisions of a sageturn balancer. Settings, events and actions: see interface.py.
 
 One Balancer decides for one relay from its own events alone. Reading order: depth, curve, buckets,
 placement, attempts, health and list, cold starts.
@@ -12,7 +12,7 @@
 from typing import Any
 from zlib import crc32
 
-from thornhitch.interface import (
+from sageturn.interface import (
     Action, Cancel, ClientGone, Event, Fail, FirstSign, Inherited, Move, Note, Outcome, Refuse, Request,
     RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
--- a/thornhitch/benchlink.py
+++ b/sageturn/simhost.py
@@ -8,8 +8,9 @@
 
 import orjson
 
-from thornhitch import interface as api
-from thornhitch.rules import Balancer
+from sageturn import interface as api
+from sageturn.rules import Balancer
+from sageturn.settings import read_settings, text
 
 STATUS = {
     "pass": "ok", "fault": "error", "no_room": "full", "too_slow": "timeout", "no_route": "connect_failed",
@@ -19,7 +20,6 @@
 LIST_KINDS = {"D": "changes", "F": "full", "C": "stale", "X": "failed"}
 NOTES = {1: "load", 2: "delay"}
 
-
 PASSED_OVER = ("Whisper", "Checked")  # the module neither talks to others nor probes
 
 
@@ -27,59 +27,6 @@
     """What came in cannot be read; the text names what was wrong."""
 
 
-def _text(value: Any) -> str:
-    return value if isinstance(value, str) else ""
-
-
-def read_settings(conf: dict[str, Any]) -> api.Settings:
-    limits, rules = conf["policyLimits"], conf["guarantees"]
-    info, prices = conf.get("familyInfo") or {}, conf.get("prices") or {}
-    message_aims = info.get("messageAimMs") or []
-    quotas = info.get("tenantQuotaConnections") or []
-    classes = tuple(
-        api.RequestClass(
-            name=c["name"],
-            aim_ms=c["aimMs"],
-            effect=c.get("semantics", "safe"),
-            scope=c.get("dedupScope") or "all",
-            key_ttl_ms=c.get("keyTtlMs") or 0.0,
-            message_aim_ms=message_aims[k] if k < len(message_aims) else 0.0,
-        )
-        for k, c in enumerate(conf["classes"])
-    )
-    tenants = tuple(
-        api.Tenant(
-            name=t["name"],
-            allowance_per_s=t.get("allowancePerS") or 0.0,
-            quota_connections=quotas[k] if k < len(quotas) else 0.0,
-        )
-        for k, t in enumerate(conf.get("accounts") or [])
-    )
-    return api.Settings(
-        classes=classes,
-        tenants=tenants,
-        balancers=conf.get("groupSize", 1),
-        zone=_text(conf.get("zone")),
-        discovery=conf.get("discovery", "push"),
-        max_attempts=limits["sendCap"],
-        may_cancel=limits.get("cancel", False),
-        retry_after=limits.get("retryAfter", False),
-        max_retry_after_ms=limits.get("maxRetryAfterMs", 1000.0),
-        connect_timeout_ms=limits.get("connectTimeoutMs", 250.0),
-        must_ask_in_ms=rules.get("mustAskInMs") or 0.0,
-        fall_multiple=rules["fallMultiple"],
-        fall_ms=rules["fallMs"],
-        cold_from=rules["startCapacity"],
-        warm_within_ms=rules["warmWithinMs"],
-        weights=conf.get("weightKind") or "none",
-        groups=bool(info.get("groups")),
-        price_cross_zone=prices.get("crossZone", 0.0),
-        price_handshake=prices.get("handshake", 0.0),
-        keepalive_ms=limits.get("keepaliveMs") or 0.0,
-        price_move=prices.get("moves", 0.0),
-    )
-
-
 def read_list(e: dict[str, Any]) -> api.ServerList:
     return api.ServerList(
         LIST_KINDS[e["mode"]],
@@ -87,11 +34,11 @@
             api.Server(
                 name=line["backend"],
                 state=STATES[line["condition"]],
-                zone=_text(line.get("dc")),
+                zone=text(line.get("dc")),
                 cell=line.get("cohort") or 0,
                 started_at_ms=line.get("readyAtMs") or 0.0,
                 share=line.get("share") or 1.0,
-                kind=_text(line.get("kind")),
+                kind=text(line.get("kind")),
             )
             for line in e["nodesList"] or ()
         ],
@@ -102,9 +49,9 @@
     return api.Request(
         e["opId"],
         e["cls"],
-        _text(e.get("party")),
+        text(e.get("party")),
         e["giveUpAtMs"],
-        _text(e.get("room")),
+        text(e.get("room")),
         e.get("costMs") or 0.0,
         bool(e.get("midflow")),
     )
@@ -112,7 +59,7 @@
 
 def read_inherited(e: dict[str, Any]) -> api.Inherited:
     return api.Inherited(
-        e["opId"], e["cls"], _text(e.get("party")), e["backend"], _text(e.get("room")), e.get("costMs") or 0.0
+        e["opId"], e["cls"], text(e.get("party")), e["backend"], text(e.get("room")), e.get("costMs") or 0.0
     )
 
 
@@ -224,7 +171,7 @@
                 out.write(link.answer(line) + b"\n")
                 out.flush()
     except WireError as error:
-        print(f"benchlink: {error}", file=sys.stderr)
+        print(f"simhost: {error}", file=sys.stderr)
         return 2
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from thornhitch import (
+from sageturn import (
     Action,
     Balancer,
     FirstSign,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from thornhitch import (
+from sageturn import (
     Cancel,
     ClientGone,
     Fail,
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from thornhitch import (
+from sageturn import (
     ClientGone,
     Fail,
     FirstSign,
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from thornhitch import (
+from sageturn import (
     Balancer,
     Cancel,
     ClientGone,
--- a/tests/test_benchlink.py
+++ b/tests/test_simhost.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from thornhitch.benchlink import Link, WireError
+from sageturn.simhost import Link, WireError
 
 CONF = {
     "accounts": [{"name": "t", "fraction": 1.0, "allowancePerS": 5.0}],
@@ -116,7 +116,7 @@
 
 
 def test_the_process_ends_plainly() -> None:
-    command = [sys.executable, "-m", "thornhitch.benchlink"]
+    command = [sys.executable, "-m", "sageturn.simhost"]
     good = subprocess.run(command, input=enlist() + b"\n", capture_output=True, check=False)
     assert (good.returncode, good.stdout, good.stderr) == (0, b'{"groups":[]}\n', b"")
     bad = subprocess.run(command, input=b"{nonsense\n", capture_output=True, check=False)
