Serve the platform's protocol on real sockets round the module

A core that knows no wire (module actor, destination set, request life, drain) and a thin front for the platform's lines.

Cause: RequestLife._resume named a variable that had become an attribute, so each at= line ended in a NameError. Ruled out: the list and addresses, since plain OPEN lines were placed and served.

--- /dev/null
+++ b/sageturn/__main__.py
@@ -0,0 +1,37 @@
+"""``python -m sageturn``: one relay, in the foreground."""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import logging
+import sys
+
+import uvloop
+
+from sageturn import config
+from sageturn.relay import Relay
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="sageturn", description="A relay for long-lived connections.")
+    parser.add_argument("--operator", metavar="FILE", help="an operator's file, such as deploy/xmpp.json")
+    options = parser.parse_args()
+    try:
+        settled = config.load(operator_file=options.operator)
+    except config.ConfigError as error:
+        print(f"sageturn: {error}", file=sys.stderr)
+        return 2
+    logging.basicConfig(level=settled.log_level, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+    try:
+        relay = Relay(settled)
+    except OSError as error:
+        print(f"sageturn: listen: {error}", file=sys.stderr)
+        return 2
+    gc.freeze()  # what was made at the start stays: collections need not walk it again and again
+    uvloop.run(relay.run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sageturn/core/messages.py
@@ -0,0 +1,80 @@
+"""What actors put into each other's mailboxes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sageturn.interface import Server
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a client asked for, in words that every front can say."""
+
+    class_name: str
+    tenant: str
+    wait_ms: float  # how long the client waits, from the arrival of its request
+    group: str = ""
+    hint: float = 0.0
+    standing_at: str = ""  # the endpoint that held this connection before the relay started
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer to a request that was not served: a fail-fast refusal, or a failure."""
+
+    refused: bool
+    retry_after_ms: float = 0.0
+    why: str = ""
+
+
+# ------------------------------------------------------------ to a request
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceCall:
+    """Begin the next outbound call."""
+
+    endpoint: str
+    patience_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class EndCall:
+    """Stop waiting for the outbound call that is out."""
+
+
+@dataclass(frozen=True, slots=True)
+class MoveClient:
+    """End the standing connection politely."""
+
+
+Instruction = PlaceCall | EndCall | MoveClient | Answer
+
+
+# ------------------------------------------------------------ to the destination set
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """One object of discovery: changes since the last, or the whole list."""
+
+    version: int
+    full: bool
+    servers: list[Server] = field(default_factory=list)
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class WatchFailed:
+    """A watch could not be had, or broke; ``why`` is for the log."""
+
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class WatchWanted:
+    """The module asks for changes from here on."""
+
+
+ListMessage = Listed | WatchFailed | WatchWanted
--- /dev/null
+++ b/sageturn/core/module.py
@@ -0,0 +1,109 @@
+"""The module's actor: the only caller of ``Balancer``. It owns its clock, its timers and its ids."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from sageturn import interface as api
+from sageturn.core.clock import Clock
+from sageturn.core.messages import Answer, EndCall, Instruction, MoveClient, PlaceCall
+from sageturn.rules import Balancer
+
+log = logging.getLogger(__name__)
+
+MAILBOX = 4096  # events waiting; far more than all connections can have out at once
+REQUEST_MAILBOX = 8  # an answer, a call and a move are all that can be due together
+SIM_IDS = 1 << 32
+
+
+
+
+class ModuleActor:
+    """Turns messages into the module's events, and its actions into messages."""
+
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, watch: Callable[[], None]) -> None:
+        self.settings = settings
+        self.clock = clock
+        self._balancer = Balancer(settings, seed)
+        self._watch = watch
+        self._mailbox: asyncio.Queue[api.Event] = asyncio.Queue(MAILBOX)
+        self._requests: dict[int, asyncio.Queue[Instruction]] = {}
+        self._last_id = 0
+        self._timers: set[asyncio.TimerHandle] = set()
+        self.placements: list[tuple[int, str]] | None = None  # a test's record of every Send
+
+    # ------------------------------------------------------------ for others
+
+    def new_request(self) -> tuple[int, asyncio.Queue[Instruction]]:
+        self._last_id = (self._last_id + 1) % SIM_IDS
+        mailbox: asyncio.Queue[Instruction] = asyncio.Queue(REQUEST_MAILBOX)
+        self._requests[self._last_id] = mailbox
+        return self._last_id, mailbox
+
+    def forget(self, request_id: int) -> None:
+        self._requests.pop(request_id, None)
+
+    async def tell(self, event: api.Event) -> None:
+        """Waits while the mailbox is full, so that whoever floods it is held back."""
+        await self._mailbox.put(event)
+
+    # ------------------------------------------------------------ the actor
+
+    async def run(self) -> None:
+        try:
+            while True:
+                self._handle(await self._mailbox.get())
+        finally:
+            for timer in self._timers:
+                timer.cancel()
+
+    def _handle(self, event: api.Event) -> None:
+        try:
+            actions = self._balancer.handle(self.clock.now_ms(), event)
+        except Exception:
+            # One event that the module cannot take must not cost all the others their connections.
+            log.exception("the module failed on %s", type(event).__name__)
+            owner = getattr(event, "id", None)
+            if owner is not None:
+                self._instruct(owner, Answer(refused=False, why="internal"))
+            return
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(request_id, endpoint, timeout_ms):
+                if self.placements is not None:
+                    self.placements.append((request_id, endpoint))
+                self._instruct(request_id, PlaceCall(endpoint, timeout_ms))
+            case api.Refuse(request_id, retry_after_ms):
+                self._instruct(request_id, Answer(refused=True, retry_after_ms=retry_after_ms))
+            case api.Fail(request_id):
+                self._instruct(request_id, Answer(refused=False, why="unavailable"))
+            case api.Cancel(request_id, _):
+                self._instruct(request_id, EndCall())
+            case api.Move(request_id):
+                self._instruct(request_id, MoveClient())
+            case api.SetTimer(delay_ms, mark):
+                self._set_timer(delay_ms, mark)
+            case api.Watch():
+                self._watch()
+
+    def _instruct(self, request_id: int, instruction: Instruction) -> None:
+        mailbox = self._requests.get(request_id)
+        if mailbox is None:
+            return  # the connection ended while the module still thought it stood
+        try:
+            mailbox.put_nowait(instruction)
+        except asyncio.QueueFull:
+            log.error("request %d left its mailbox unread; %r is lost", request_id, instruction)
+
+    def _set_timer(self, delay_ms: float, mark: str) -> None:
+        def due() -> None:
+            self._timers.discard(handle)
+            self._handle(api.Timer(mark))
+
+        handle = asyncio.get_running_loop().call_later(delay_ms / 1000.0, due)
+        self._timers.add(handle)
--- /dev/null
+++ b/sageturn/core/requests.py
@@ -0,0 +1,203 @@
+"""The life of one request: at most so many outbound calls, never two at once, one final answer.
+
+A front supplies a ``Wire`` for each client; everything that must hold on every wire is here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from sageturn import interface as api
+from sageturn.core.endings import Ending, outcome_status
+from sageturn.core.messages import Answer, Ask, EndCall, Instruction, MoveClient, PlaceCall
+from sageturn.core.module import ModuleActor
+from sageturn.core.tasks import end_task
+
+CLIENT_GONE = (Ending.CLIENT_LEFT, Ending.CLIENT_RESET)
+HURRY_RETRY_MS = 250.0  # by then the front sends the client to another relay
+ANSWER_EARLY_MS = 15.0  # the last answer has to travel too before the client gives up
+
+
+class Wire(Protocol):
+    """One client on one front, as the core sees it."""
+
+    async def call(self, endpoint: str, patience_ms: float) -> Ending | None:
+        """One outbound call; None when it stands. Cancelled when it is called off: it must then let go."""
+
+    async def accept(self) -> None:
+        """Tell the client that it is served, with what the endpoint gave."""
+
+    async def stand(self, stop: asyncio.Event) -> Ending:
+        """Pass both ways until either side ends; move the client once ``stop`` is set."""
+
+    async def answer(self, answer: Answer) -> None:
+        """The one final answer to a request that is not served."""
+
+    async def client_left(self) -> Ending:
+        """Returns once the client has gone away while its request is not yet answered."""
+
+
+@dataclass(slots=True)
+class Record:
+    """What is known of a connection when it has ended; flows are exported from it."""
+
+    ask: Ask
+    began_ms: float
+    ended_ms: float = 0.0
+    endpoint: str = ""
+    calls: int = 0
+    stood: bool = False
+    ending: Ending | None = None
+    answer: Answer | None = None
+
+
+class RequestLife:
+    """Runs one request from its arrival to its end."""
+
+    def __init__(self, module: ModuleActor, wire: Wire, ask: Ask) -> None:
+        self._module, self._wire = module, wire
+        self.id, self._mailbox = module.new_request()
+        self.record = Record(ask, module.clock.now_ms())
+        self.stop = asyncio.Event()  # set by a move or a shutdown: the client is to go elsewhere
+        self._give_up_ms = self.record.began_ms + max(0.0, ask.wait_ms - ANSWER_EARLY_MS)
+        self._answered = False
+        self._over = asyncio.Event()
+        self._leaving: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
+
+    @property
+    def standing(self) -> bool:
+        return self.record.stood and self.record.ending is None
+
+    async def run(self) -> Record:
+        ask = self.record.ask
+        self._leaving = asyncio.ensure_future(self._wire.client_left())
+        try:
+            if ask.standing_at:
+                await self._resume()
+            else:
+                await self._module.tell(
+                    api.Request(self.id, ask.class_name, ask.tenant, self._give_up_ms, ask.group, ask.hint)
+                )
+                await self._place()
+        finally:
+            await end_task(self._leaving)
+            self._module.forget(self.id)
+            self.record.ended_ms = self._module.clock.now_ms()
+        return self.record
+
+    # ------------------------------------------------------------ until it stands or is answered
+
+    async def _place(self) -> None:
+        while True:
+            # The module answers each event at once and never holds a request, so a client that leaves
+            # now is dealt with a moment later, when there is a call of its own to close.
+            match await self._mailbox.get():
+                case PlaceCall(endpoint, patience_ms):
+                    if await self._attempt(endpoint, patience_ms):
+                        return
+                case Answer() as answer:
+                    await self._final(answer)
+                    return
+                case EndCall() | MoveClient():
+                    pass  # word on a call that has ended meanwhile
+
+    async def _attempt(self, endpoint: str, patience_ms: float) -> bool:
+        """One outbound call to its end; True when the request needs nothing more."""
+        attempt = self.record.calls
+        self.record.calls += 1
+        self.record.endpoint = endpoint
+        left_ms = self._give_up_ms - self._module.clock.now_ms()
+        sent_ms = self._module.clock.now_ms()
+        ending = await self._call(endpoint, min(patience_ms or left_ms, left_ms))
+        if ending is None:
+            took_ms = self._module.clock.now_ms() - sent_ms
+            await self._module.tell(api.FirstSign(self.id, attempt, endpoint, took_ms))
+            await self._stand(attempt, endpoint)
+            return True
+        self.record.ending = ending
+        if ending in CLIENT_GONE or self._over.is_set():
+            # Nothing more is owed to the module's request, but the outcome of its attempt is.
+            await self._module.tell(api.ClientGone(self.id))
+            await self._module.tell(api.Outcome(self.id, attempt, endpoint, outcome_status(ending), True))
+            if ending not in CLIENT_GONE:
+                await self._final(Answer(refused=True, retry_after_ms=HURRY_RETRY_MS, why="shutdown"))
+            return True
+        await self._module.tell(api.Outcome(self.id, attempt, endpoint, outcome_status(ending), False))
+        return False
+
+    async def _call(self, endpoint: str, patience_ms: float) -> Ending | None:
+        if patience_ms <= 0:
+            return Ending.TIMEOUT
+        over = asyncio.ensure_future(self._over.wait())
+        calling = asyncio.ensure_future(self._wire.call(endpoint, patience_ms))
+        try:
+            await asyncio.wait((calling, self._leaving, over), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            over.cancel()
+            if not calling.done():
+                # Never two at once: the next step waits until this call's connection is closed.
+                calling.cancel()
+                await asyncio.wait((calling,))
+        if self._leaving.done():
+            return self._leaving.result()
+        return Ending.CANCELLED if calling.cancelled() else calling.result()
+
+    def hurry(self) -> None:
+        """The relay is about to stop: a request not yet served is answered now."""
+        self._over.set()
+
+    async def _final(self, answer: Answer) -> None:
+        if self._answered:
+            return
+        self._answered = True
+        self.record.answer = answer
+        await end_task(self._leaving)
+        await self._wire.answer(answer)
+
+    # ------------------------------------------------------------ while it stands
+
+    async def _stand(self, attempt: int, endpoint: str) -> None:
+        await end_task(self._leaving)
+        self._answered = True
+        self.record.stood, self.record.ending = True, None
+        moving = asyncio.ensure_future(self._await_move())
+        try:
+            await self._wire.accept()
+            self.record.ending = await self._wire.stand(self.stop)
+        except OSError:
+            self.record.ending = Ending.CLIENT_RESET
+        finally:
+            moving.cancel()
+            ending = self.record.ending or Ending.CLIENT_RESET
+            self.record.ending = ending
+            await self._module.tell(api.Outcome(self.id, attempt, endpoint, outcome_status(ending), True))
+
+    async def _await_move(self) -> None:
+        instruction: Instruction | None = None
+        while not isinstance(instruction, MoveClient):
+            instruction = await self._mailbox.get()
+        self.stop.set()
+
+    async def note_load(self, value: float) -> None:
+        """What the endpoint says of this connection's load, in microseconds of work a second."""
+        attempt = max(0, self.record.calls - 1)
+        note = api.Note(self.id, attempt, self.record.endpoint, "load", value / 1000.0)
+        await self._module.tell(note)
+
+    # ------------------------------------------------------------ stood before this relay did
+
+    async def _resume(self) -> None:
+        ask = self.record.ask
+        self.record.calls, self.record.endpoint = 1, ask.standing_at
+        ending = await self._call(ask.standing_at, max(1.0, ask.wait_ms - ANSWER_EARLY_MS))
+        if ending is not None:
+            self.record.ending = ending
+            if ending not in (Ending.CLIENT_LEFT, Ending.CLIENT_RESET):
+                await self._final(Answer(refused=False, why="lost"))
+            return
+        await self._module.tell(
+            api.Inherited(self.id, ask.class_name, ask.tenant, ask.standing_at, ask.group, ask.hint)
+        )
+        await self._stand(0, ask.standing_at)
--- /dev/null
+++ b/sageturn/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Fronts: each turns one wire into the core's messages and back, and decides nothing."""
--- /dev/null
+++ b/sageturn/fronts/platform.py
@@ -0,0 +1,320 @@
+"""The platform's front: lines of text over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sageturn.core.destinations import DestinationSet
+from sageturn.core.drain import Lives
+from sageturn.core.endings import Ending
+from sageturn.core.messages import Answer
+from sageturn.core.module import ModuleActor
+from sageturn.core.requests import Record, RequestLife
+from sageturn.core.tasks import end_task
+from sageturn.fronts.firstline import LINE_MOST, FirstLine, Malformed, parse_first_line
+from sageturn.fronts.pump import Broken, LinePump
+from sageturn.net.sockets import (
+    Connect,
+    close_politely,
+    connect,
+    end_sending,
+    reset,
+    send_gathered,
+)
+
+log = logging.getLogger(__name__)
+
+FIRST_LINE_S = 5.0  # a client that says nothing for so long is not going to
+READY_S = 8.0  # PING waits this long for a usable list
+MUTE_S = 5.0  # nothing back on a client's line for this long: the endpoint has vanished
+MUTE_LOOK_S = 0.25
+LAST_WORD_S = 0.5  # what an ended side may still have coming from the other
+MOVE_S = 0.7
+_CALL_ENDINGS = {
+    Connect.REFUSED: Ending.REFUSED,
+    Connect.NEVER_UP: Ending.NO_CONNECT,
+    Connect.NO_DESCRIPTOR: Ending.NOT_SENT,
+}
+
+
+@dataclass(slots=True)
+class Shared:
+    """What every connection of a front needs of the core."""
+
+    module: ModuleActor
+    destinations: DestinationSet
+    lives: Lives
+    ended: Callable[[Record], None]
+
+    async def run(self, life: RequestLife) -> None:
+        self.lives.add(life)
+        try:
+            self.ended(await life.run())
+        finally:
+            self.lives.remove(life)
+
+
+class PlatformFront:
+    turn_away = b"BUSY 500\r\n"
+
+    def __init__(self, shared: Shared) -> None:
+        self._shared = shared
+        self._classes = frozenset(c.name for c in shared.module.settings.classes)
+
+    async def serve(self, sock: socket.socket) -> None:
+        buffer = bytearray(LINE_MOST)
+        while True:
+            try:
+                async with asyncio.timeout(FIRST_LINE_S):
+                    end, filled = await _read_line(sock, buffer)
+            except TimeoutError:
+                await _refuse_line(sock, "no first line")
+                return
+            if not end:
+                if filled:
+                    await _refuse_line(sock, "no first line")
+                return
+            if buffer[:end] != b"PING\r\n":
+                break
+            if not await self._pong(sock):
+                return
+            buffer[: filled - end] = buffer[end:filled]
+            if filled > end:
+                await _refuse_line(sock, "more than one line")
+                return
+        try:
+            line = parse_first_line(buffer, end, self._classes)
+        except Malformed as error:
+            log.info("first line: %s", error)
+            await _refuse_line(sock, str(error))
+            return
+        peer = _Peer(self._shared, sock, buffer, line, bytes(buffer[end:filled]))
+        await self._shared.run(peer.life)
+
+    async def _pong(self, sock: socket.socket) -> bool:
+        try:
+            async with asyncio.timeout(READY_S):
+                await self._shared.destinations.usable.wait()
+        except TimeoutError:
+            await _refuse_line(sock, "no list")
+            return False
+        await asyncio.get_running_loop().sock_sendall(sock, b"PONG\r\n")
+        return True
+
+
+async def _read_line(sock: socket.socket, buffer: bytearray) -> tuple[int, int]:
+    """Where the first line ends, and how much was read; 0 when none came, or it is too long."""
+    loop = asyncio.get_running_loop()
+    filled = 0
+    while filled < len(buffer):
+        size = await loop.sock_recv_into(sock, memoryview(buffer)[filled:])
+        if not size:
+            return 0, filled
+        end = buffer.find(b"\n", filled, filled + size) + 1
+        filled += size
+        if end:
+            return end, filled
+    return 0, filled
+
+
+async def _refuse_line(sock: socket.socket, why: str) -> None:
+    await asyncio.get_running_loop().sock_sendall(sock, f"FAIL {why}\r\n".encode())
+    await close_politely(sock)
+
+
+class _Peer:
+    """One client, and its endpoint once it has one: the ``Wire`` of its request."""
+
+    def __init__(
+        self, shared: Shared, sock: socket.socket, buffer: bytearray, line: FirstLine, ahead: bytes
+    ) -> None:
+        self._shared, self._client, self._buffer, self._line = shared, sock, buffer, line
+        self._ahead = ahead  # what the client sent before it was answered
+        self._endpoint: socket.socket | None = None
+        self._answer = b""  # the endpoint's first line, and what followed it
+        self._last_line = b""
+        self._asked_s = 0.0  # when the client's oldest unanswered line was passed on
+        self.life = RequestLife(shared.module, self, line.ask)
+        self._loads: asyncio.Queue[float] = asyncio.Queue(16)
+
+    # ------------------------------------------------------------ one outbound call
+
+    async def call(self, endpoint: str, patience_ms: float) -> Ending | None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + patience_ms / 1000.0
+        address = self._shared.destinations.addresses.get(endpoint)
+        if address is None:
+            return Ending.NOT_SENT
+        connect_s = self._shared.module.settings.connect_timeout_ms / 1000.0
+        sock = await connect(address, min(connect_s, patience_ms / 1000.0))
+        if isinstance(sock, Connect):
+            return _CALL_ENDINGS[sock]
+        stands = False
+        try:
+            try:
+                async with asyncio.timeout_at(until):
+                    ending = await self._ask(sock, until)
+            except TimeoutError:
+                return Ending.TIMEOUT
+            stands = ending is None
+            return ending
+        finally:
+            if stands:
+                self._endpoint = sock
+            else:
+                sock.close()
+
+    async def _ask(self, sock: socket.socket, until: float) -> Ending | None:
+        loop = asyncio.get_running_loop()
+        line, view = self._line, memoryview(self._buffer)
+        wait = b"%d" % max(1, int((until - loop.time()) * 1000.0))
+        try:
+            await send_gathered(sock, (view[: line.wait_from], wait, view[line.wait_to : line.end]))
+        except OSError:
+            return Ending.CUT_BEFORE_WRITTEN
+        answer = bytearray(LINE_MOST)
+        try:
+            end, filled = await _read_line(sock, answer)
+        except OSError:
+            return Ending.RESET
+        if not end:
+            return Ending.GARBLED if filled == len(answer) else Ending.ENDED
+        word = bytes(answer[:end]).split(None, 1)
+        if word and word[0] == b"UP":
+            self._answer = bytes(answer[:filled])
+            return None
+        return _FIRST_WORDS.get(word[0] if word else b"", Ending.GARBLED)
+
+    async def client_left(self) -> Ending:
+        loop = asyncio.get_running_loop()
+        waste = bytearray(1024)
+        while len(self._ahead) < LINE_MOST:
+            try:
+                size = await loop.sock_recv_into(self._client, waste)
+            except OSError:
+                return Ending.CLIENT_RESET
+            if not size:
+                return Ending.CLIENT_LEFT
+            self._ahead += waste[:size]
+        await asyncio.Event().wait()  # more than any client sends unasked: it waits in the kernel
+        raise AssertionError
+
+    async def answer(self, answer: Answer) -> None:
+        if not answer.refused:
+            text = f"FAIL {answer.why}\r\n".encode()
+        elif answer.retry_after_ms >= 1:
+            text = b"BUSY %d\r\n" % round(answer.retry_after_ms)
+        else:
+            text = b"BUSY\r\n"
+        try:
+            await asyncio.get_running_loop().sock_sendall(self._client, text)
+        except OSError:
+            return  # the client is gone; there is nobody to answer
+        await close_politely(self._client)
+
+    # ------------------------------------------------------------ while it stands
+
+    async def accept(self) -> None:
+        """The endpoint's UP goes out with all that followed it, as the first lines of the pump."""
+
+    async def stand(self, stop: asyncio.Event) -> Ending:
+        endpoint = self._endpoint
+        assert endpoint is not None
+        down = LinePump(endpoint, self._client, self._from_endpoint, self._answer)
+        up = LinePump(self._client, endpoint, self._from_client, self._ahead)
+        self._buffer, self._answer, self._ahead = bytearray(), b"", b""
+        downward, upward = asyncio.ensure_future(down.run()), asyncio.ensure_future(up.run())
+        stopping = asyncio.ensure_future(stop.wait())
+        muting = asyncio.ensure_future(self._await_mute())
+        noting = asyncio.ensure_future(self._pass_loads())
+        try:
+            await asyncio.wait(
+                (downward, upward, stopping, muting), return_when=asyncio.FIRST_COMPLETED
+            )
+            if downward.done():
+                ending = await self._endpoint_ended(downward, upward)
+            elif upward.done():
+                ending = await self._client_ended(upward, downward)
+            else:
+                await down.put_in(b"MOVE\r\n", MOVE_S)
+                ending = Ending.MOVED if stopping.done() else Ending.MUTE
+            return ending
+        finally:
+            for task in (downward, upward, stopping, muting, noting):
+                await end_task(task)
+            await asyncio.gather(close_politely(self._client), close_politely(endpoint))
+
+    async def _endpoint_ended(self, downward: asyncio.Task[None], upward: asyncio.Task[None]) -> Ending:
+        assert self._endpoint is not None
+        error = downward.exception()
+        if isinstance(error, Broken):
+            if error.source:
+                reset(self._client)
+                return Ending.RESET
+            reset(self._endpoint)
+            return Ending.CLIENT_RESET
+        end_sending(self._client)
+        await asyncio.wait((upward,), timeout=LAST_WORD_S)
+        return _LAST_WORDS.get(self._last_line, Ending.ENDED)
+
+    async def _client_ended(self, upward: asyncio.Task[None], downward: asyncio.Task[None]) -> Ending:
+        assert self._endpoint is not None
+        error = upward.exception()
+        if isinstance(error, Broken):
+            if error.source:
+                reset(self._endpoint)
+                return Ending.CLIENT_RESET
+            # Writing failed, so the endpoint has gone; what it said last may still lie unread.
+            await asyncio.wait((downward,), timeout=LAST_WORD_S)
+            if downward.done():
+                return await self._endpoint_ended(downward, upward)
+            reset(self._client)
+            return Ending.RESET
+        end_sending(self._endpoint)
+        await asyncio.wait((downward,), timeout=LAST_WORD_S)
+        return Ending.CLIENT_LEFT
+
+    def _from_endpoint(self, buffer: bytearray, whole: int) -> None:
+        self._asked_s = 0.0
+        at = 0
+        while at < whole:
+            end = buffer.index(b"\n", at) + 1
+            if buffer.startswith(b"LOAD ", at):
+                self._note_load(bytes(buffer[at + 5 : end]))
+            at = end
+        start = buffer.rfind(b"\n", 0, whole - 1) + 1
+        self._last_line = bytes(buffer[start : min(whole, start + 16)]).strip()
+
+    def _from_client(self, buffer: bytearray, whole: int) -> None:
+        if not self._asked_s:
+            self._asked_s = asyncio.get_running_loop().time()
+
+    def _note_load(self, text: bytes) -> None:
+        try:
+            value = float(text)
+        except ValueError:
+            return
+        if not self._loads.full():  # a newer load stands in for those that could not be told yet
+            self._loads.put_nowait(value)
+
+    async def _pass_loads(self) -> None:
+        while True:
+            await self.life.note_load(await self._loads.get())
+
+    async def _await_mute(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._asked_s or loop.time() - self._asked_s < MUTE_S:
+            await asyncio.sleep(MUTE_LOOK_S)
+
+
+_FIRST_WORDS = {
+    b"BUSY": Ending.BUSY,
+    b"ERR": Ending.ERROR,
+    b"BYE": Ending.SERVED,
+    b"MOVE": Ending.SENT_AWAY,
+}
+_LAST_WORDS = {b"BYE": Ending.SERVED, b"MOVE": Ending.SENT_AWAY}
--- /dev/null
+++ b/sageturn/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: helpers, the listener and discovery's client."""
--- /dev/null
+++ b/sageturn/net/listener.py
@@ -0,0 +1,86 @@
+"""Accepts clients and gives each to its front; goes on when descriptors run out."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from collections.abc import Awaitable, Callable
+
+from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, listen, prepare
+
+log = logging.getLogger(__name__)
+
+Serve = Callable[[socket.socket], Awaitable[None]]
+SHORT_PAUSE_S = 0.02
+
+
+class Listener:
+    def __init__(self, address: tuple[str, int], serve: Serve, turn_away: bytes) -> None:
+        self._sock = listen(address)
+        self.address: tuple[str, int] = self._sock.getsockname()
+        self._serve, self._turn_away = serve, turn_away
+        self._tasks: set[asyncio.Task[None]] = set()
+        # Given up for a moment to take, answer and close a client when there is no other descriptor:
+        # left in the backlog it would have been taken by this machine and never answered.
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                try:
+                    sock, _ = await loop.sock_accept(self._sock)
+                except OSError as error:
+                    if error.errno not in SHORT_OF_DESCRIPTORS:
+                        log.warning("accept: %s", error)  # the client was gone before it was taken
+                        continue
+                    await self._answer_short()
+                    continue
+                self._start(sock)
+        finally:
+            self.close()
+
+    def _start(self, sock: socket.socket) -> None:
+        task = asyncio.ensure_future(self._guard(sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, sock: socket.socket) -> None:
+        try:
+            prepare(sock)
+            await self._serve(sock)
+        except OSError as error:
+            log.info("connection: %s", error)
+        except Exception:
+            log.exception("a connection failed")
+        finally:
+            sock.close()
+
+    async def _answer_short(self) -> None:
+        if self._spare is None:
+            await asyncio.sleep(SHORT_PAUSE_S)
+        else:
+            os.close(self._spare)
+            self._spare = None
+            try:
+                sock, _ = self._sock.accept()
+                sock.send(self._turn_away)
+                sock.close()
+            except OSError:
+                await asyncio.sleep(SHORT_PAUSE_S)
+        try:
+            self._spare = os.open(os.devnull, os.O_RDONLY)
+        except OSError:
+            self._spare = None
+
+    async def finish(self, patience_s: float) -> None:
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=patience_s)
+
+    def close(self) -> None:
+        self._sock.close()
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None
--- /dev/null
+++ b/sageturn/net/sockets.py
@@ -0,0 +1,108 @@
+"""Non-blocking sockets on asyncio's own calls, with what those leave out."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import struct
+from collections.abc import Sequence
+from contextlib import suppress
+from enum import Enum, auto
+
+Buffer = bytes | bytearray | memoryview
+SHORT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+LINGER_S = 0.5  # how long a closed connection's other side is awaited
+
+
+class Connect(Enum):
+    """Why a connection did not come up."""
+
+    REFUSED = auto()
+    NEVER_UP = auto()
+    NO_DESCRIPTOR = auto()
+
+
+def prepare(sock: socket.socket) -> socket.socket:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+async def connect(address: tuple[str, int], timeout_s: float) -> socket.socket | Connect:
+    try:
+        sock = prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    except OSError as error:
+        return Connect.NO_DESCRIPTOR if error.errno in SHORT_OF_DESCRIPTORS else Connect.REFUSED
+    try:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.get_running_loop().sock_connect(sock, address)
+    except TimeoutError:
+        sock.close()
+        return Connect.NEVER_UP
+    except OSError:
+        sock.close()
+        return Connect.REFUSED
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+async def send_gathered(sock: socket.socket, parts: Sequence[Buffer]) -> None:
+    """One gathered write; what the kernel did not take at once follows part by part."""
+    try:
+        sent = sock.sendmsg(parts)
+    except (BlockingIOError, InterruptedError):
+        sent = 0
+    loop = asyncio.get_running_loop()
+    for part in parts:
+        size = len(part)
+        if sent >= size:
+            sent -= size
+            continue
+        await loop.sock_sendall(sock, memoryview(part)[sent:])
+        sent = 0
+
+
+def end_sending(sock: socket.socket) -> None:
+    with suppress(OSError):  # the other side has reset it: there is nobody left to tell
+        sock.shutdown(socket.SHUT_WR)
+
+
+def reset(sock: socket.socket) -> None:
+    """Close with a reset, as the other side of the relay was reset."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def close_politely(sock: socket.socket) -> None:
+    """End with FIN, and wait a little for the other's.
+
+    Closing at once while bytes of the other side lie unread would make the kernel send a reset, which
+    can destroy the last line on its way.
+    """
+    end_sending(sock)
+    loop = asyncio.get_running_loop()
+    waste = bytearray(2048)
+    try:
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                while await loop.sock_recv_into(sock, waste):
+                    pass
+    finally:
+        sock.close()
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(1024)
+        sock.setblocking(False)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
