--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -315,8 +315,10 @@
             r.ask()
             r.stands(r.ids)
     at_a = [i for i, sent in relay.sent.items() if sent[-1] == "a"]
-    relay.now = told.now = 50.0
-    moved = [a for i in at_a for a in relay.tell(Note(i, 0, "a", "load", 300.0))]
+    moved = []
+    for i in at_a:
+        relay.now += 1100.0  # a server is weighed once a second at most
+        moved += relay.tell(Note(i, 0, "a", "load", 300.0))
     assert moved and all(isinstance(a, Move) for a in moved)
     assert relay.balancer.servers["a"].full() and not relay.balancer.servers["b"].full()
     assert [a for i in list(told.sent) for a in told.tell(Note(i, 0, told.sent[i][-1], "load", 300.0))] == []
