--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -8,6 +8,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+from sageturn.core.tasks import end_task
 from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, listen, prepare
 
 log = logging.getLogger(__name__)
@@ -79,6 +80,10 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=patience_s)
 
+    async def cancel(self) -> None:
+        for task in list(self._tasks):
+            await end_task(task)
+
     def close(self) -> None:
         self._sock.close()
         if self._spare is not None:
--- /dev/null
+++ b/sageturn/store/frames.py
@@ -0,0 +1,101 @@
+"""Authenticated frames between replicas.
+
+Both sides prove that they hold the shared secret by a keyed hash over both nonces and names, and every
+frame after that carries a keyed hash over its direction and number, so that none can be forged, played
+again or left out. Frames are not encrypted: the secret never crosses, and credentials do so only salted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+import json
+import secrets
+import socket
+import struct
+from typing import Any
+
+from sageturn.net.sockets import send_gathered
+
+FRAME_MOST = 4 << 20
+HELLO_MOST = 1024
+NONCE = 32
+TAG = 32
+_SIZE = struct.Struct(">I")
+
+
+class Refused(ConnectionError):
+    """The other side is no replica of ours, or a frame was tampered with."""
+
+
+def _tag(key: bytes, *parts: bytes) -> bytes:
+    return hmac.digest(key, b"".join(_SIZE.pack(len(p)) + p for p in parts), "sha256")
+
+
+class Link:
+    """One connection between two replicas, after ``shake_hands``."""
+
+    def __init__(self, sock: socket.socket, secret: bytes, node: str) -> None:
+        self._sock, self._secret, self._node = sock, secret, node
+        self._key = b""
+        self._sent = self._received = 0
+        self._mine = self._theirs = b""
+        self._writing = asyncio.Lock()
+        self.peer = ""
+
+    async def shake_hands(self, dialled: bool) -> None:
+        nonce = secrets.token_bytes(NONCE)
+        hello = json.dumps({"node": self._node, "nonce": nonce.hex()}).encode()
+        await send_gathered(self._sock, (_SIZE.pack(len(hello)), hello))
+        try:
+            theirs = json.loads(await self._read_sized(HELLO_MOST))
+            self.peer, their_nonce = str(theirs["node"]), bytes.fromhex(theirs["nonce"])
+        except (ValueError, KeyError, TypeError):
+            raise Refused("no replica's greeting") from None
+        if len(their_nonce) != NONCE or their_nonce == nonce or not self.peer:
+            raise Refused("no replica's greeting")
+        self._mine, self._theirs = (b"dialled", b"answered") if dialled else (b"answered", b"dialled")
+        first, second = (nonce, their_nonce) if dialled else (their_nonce, nonce)
+        self._key = _tag(self._secret, b"session", first, second)
+        proof = _tag(self._key, b"proof", self._mine, self._node.encode())
+        await asyncio.get_running_loop().sock_sendall(self._sock, proof)
+        expected = _tag(self._key, b"proof", self._theirs, self.peer.encode())
+        if not hmac.compare_digest(await self._read(TAG), expected):
+            raise Refused("the secrets differ")
+
+    async def send(self, message: Any) -> None:
+        payload = json.dumps(message, separators=(",", ":")).encode()
+        async with self._writing:
+            tag = _tag(self._key, self._mine, _SIZE.pack(self._sent), payload)
+            self._sent += 1
+            await send_gathered(self._sock, (_SIZE.pack(len(payload)), payload, tag))
+
+    async def receive(self) -> Any:
+        payload = await self._read_sized(FRAME_MOST)
+        expected = _tag(self._key, self._theirs, _SIZE.pack(self._received), payload)
+        if not hmac.compare_digest(await self._read(TAG), expected):
+            raise Refused("a frame was tampered with")
+        self._received += 1
+        return json.loads(payload)
+
+    async def _read_sized(self, most: int) -> bytes:
+        (size,) = _SIZE.unpack(await self._read(_SIZE.size))
+        if size > most:
+            raise Refused("a frame is too large")
+        return await self._read(size)
+
+    async def _read(self, size: int) -> bytes:
+        data = bytearray(size)
+        view, filled = memoryview(data), 0
+        while filled < size:
+            got = await asyncio.get_running_loop().sock_recv_into(self._sock, view[filled:])
+            if not got:
+                raise ConnectionResetError("ended")
+            filled += got
+        return bytes(data)
+
+
+def read_secret(text: str) -> bytes:
+    """Any text will do; its hash has the length that the keyed hashes want."""
+    return hashlib.sha256(text.strip().encode()).digest()
--- /dev/null
+++ b/sageturn/store/log.py
@@ -0,0 +1,108 @@
+"""The append-only log on disk.
+
+Each entry is a header (length and checksum of the payload, and a checksum of the header itself) and a
+payload of JSON. The header's own checksum tells a length that rotted, which would make all that follows
+look like a torn tail, from an entry whose writing was cut short.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import struct
+import zlib
+from collections.abc import Iterable
+from pathlib import Path
+
+from sageturn.store.records import BadRecord, Record, read_record
+
+MAGIC = b"sageturn-store-1\n"
+_HEADER = struct.Struct(">II")
+_CHECK = struct.Struct(">I")
+_HEAD = _HEADER.size + _CHECK.size
+
+
+class Damaged(Exception):
+    """The log is broken in a place that no interrupted write explains."""
+
+
+def encode(record: Record) -> bytes:
+    payload = json.dumps(record.to_json(), separators=(",", ":"), sort_keys=True).encode()
+    head = _HEADER.pack(len(payload), zlib.crc32(payload))
+    return head + _CHECK.pack(zlib.crc32(head)) + payload
+
+
+def scan(data: bytes) -> tuple[list[Record], int]:
+    """The records, and where the sound part ends; what lies past it is a torn tail."""
+    if not data.startswith(MAGIC):
+        if MAGIC.startswith(data):
+            return [], 0
+        raise Damaged("this is no log of the store")
+    records, at = [], len(MAGIC)
+    while at < len(data):
+        head = data[at : at + _HEAD]
+        if len(head) < _HEAD or not any(data[at:]):
+            break  # cut short, or the file had grown before its bytes were written
+        size, check = _HEADER.unpack(head[: _HEADER.size])
+        if _CHECK.unpack(head[_HEADER.size :])[0] != zlib.crc32(head[: _HEADER.size]):
+            raise Damaged(f"header at byte {at}")
+        end = at + _HEAD + size
+        payload = data[at + _HEAD : end]
+        if len(payload) < size:
+            break
+        if zlib.crc32(payload) != check:
+            if end == len(data):
+                break  # the last entry: its bytes had not all reached the disk
+            raise Damaged(f"entry at byte {at}")
+        try:
+            records.append(read_record(json.loads(payload)))
+        except (BadRecord, ValueError) as error:
+            raise Damaged(f"entry at byte {at}: {error}") from None
+        at = end
+    return records, at
+
+
+class Log:
+    """The file of one node."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        path.parent.mkdir(parents=True, exist_ok=True)
+        data = path.read_bytes() if path.exists() else b""
+        self.records, sound = scan(data)
+        self.cut_off = len(data) - sound
+        self._file = open(path, "r+b" if path.exists() else "w+b", buffering=0)  # noqa: SIM115
+        self._file.truncate(sound)
+        self._file.seek(sound)
+        self.size = sound
+        if not sound:
+            self._write(MAGIC)
+
+    def append(self, records: Iterable[Record]) -> None:
+        """Durable once this returns."""
+        self._write(b"".join(map(encode, records)))
+
+    def _write(self, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            view = view[self._file.write(view) :]
+        os.fsync(self._file.fileno())
+        self.size += len(data)
+
+    def rewrite(self, records: Iterable[Record]) -> None:
+        """Replace the log by one of the records that still count, all at once or not at all."""
+        fresh = self._path.with_suffix(".new")
+        fresh.unlink(missing_ok=True)
+        new = Log(fresh)
+        new.append(records)
+        os.replace(fresh, self._path)
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+        self._file.close()
+        self._file, self.size = new._file, new.size
+
+    def close(self) -> None:
+        self._file.close()
