Count a connection of untold load at the mean of all told

Cause: loads are told when they change, some 4 to 20 s apart, so connections that stood before the run weighed nothing in rules.py _weigh. Ruled out: set-up (100% in time) and resets (none in that window).

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -131,6 +131,7 @@
         self.rng = Random(seed)
         # By kind of machine, and under "" for all: sum of the logs of set-up times, and their count.
         self.set_ups: dict[str, list[float]] = {"": [0.0, 0.0]}
+        self.told = [0.0, 0.0]  # sum and count of the loads told
         self.speeds: dict[str, float] = {}  # by kind, against the mean
         self.sized = settings.weights in ("nominal", "rough")
         self.classes = {c.name: c for c in settings.classes}
@@ -548,6 +549,8 @@
             r = s.conns.get(e.id)
             if r is not None:
                 r.load = e.value
+                self.told[0] += e.value
+                self.told[1] += 1.0
                 self._weigh(now_ms, s)
             return
         if e.value > self.late_ms:
@@ -563,7 +566,9 @@
         if self.settings.tells_delay or now_ms < s.weigh_ms:
             return
         s.weigh_ms = now_ms + WEIGH_MS
-        work = sum(r.load for r in s.conns.values()) * self.settings.balancers
+        # A load is told when it changes; until then a connection counts at the mean of all told.
+        mean = self.told[0] / self.told[1] if self.told[1] else 0.0
+        work = sum(r.load or mean for r in s.conns.values()) * self.settings.balancers
         fill = work / (1000.0 * s.share * self.speeds.get(s.kind, 1.0))
         if fill > FULL_AT:
             self._strained(now_ms, s, s.open)
