Hold a host late by loads only when it is fuller than the others

Cause: rules.py _weigh compared loads with a size alone; on faster machines all hosts went past it together, and _sum counted each closed one as full, so depth left its free part and buckets and groups turned clients away. Change: late means also fuller than the mean of the ready ones, and a host closed by loads alone does not count in depth.

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -54,8 +54,8 @@
 SPARE_PART = 0.9  # of the time that an idle connection is kept: later it may be gone on arrival
 SPARE_MOST = 15  # idle connections remembered a server
 WEIGH_MS = 1000.0  # where no delays are told, a server's loads are weighed this often
-FULL_AT = 0.8  # of what its size carries, by our loads and as many at each balancer: it counts as late
-MOVE_AT = 1.0  # and from here on it is relieved
+FULL_AT, FULL_OVER = 0.7, 1.25  # part of what its size carries, and times the mean: it counts as late
+MOVE_AT, MOVE_OVER = 0.8, 1.5  # and from here on it is relieved
 COLD_CARE = 0.8  # of the multiple of what fills a cold server over its warm-up, many balancers use this,
 COLD_EVEN = 4.8  # and few use more, by this over their number: theirs are evenly spaced, not piled by chance,
 COLD_MOST = 2.0  # up to this: servers were seen to take three to four times what so fills them
@@ -71,8 +71,7 @@
         "open", "pending", "limit", "fresh",
         "ready", "fails", "out_until_ms", "trial", "cold", "credit", "credit_ms", "closed",
         "late_until_ms", "room", "chance", "room_ms", "conns", "groups",
-        "in_pending", "in_limit", "in_blind", "in_open",
-    )  # fmt: skip
+        "in_pending", "in_limit", "in_blind", "in_open")  # fmt: skip
 
     def __init__(self, line: Server) -> None:
         self.name, self.zone, self.cell = line.name, line.zone, line.cell
@@ -200,7 +199,9 @@
         """Bring the server's part of the sums up to date; a closed one counts as full."""
         pending = limit = blind = opened = 0
         if s.ready and (s.open or s.closed):
-            pending, limit, opened = s.limit if s.closed else min(s.pending, s.limit), s.limit, s.open
+            # Closed by loads alone it does not count: then the others have room, and nobody need wait.
+            full = s.closed and self.settings.tells_delay
+            pending, limit, opened = s.limit if full else min(s.pending, s.limit), s.limit, s.open
         elif s.ready:
             blind = s.limit
         self.sum_blind += blind - s.in_blind
@@ -548,9 +549,7 @@
         if e.kind == "load":
             r = s.conns.get(e.id)
             if r is not None:
-                r.load = e.value
-                self.told[0] += e.value
-                self.told[1] += 1.0
+                r.load, self.told = e.value, [self.told[0] + e.value, self.told[1] + 1.0]
                 self._weigh(now_ms, s)
             return
         if e.value > self.late_ms:
@@ -562,19 +561,22 @@
             self._review(now_ms, s)
 
     def _weigh(self, now_ms: float, s: _Server) -> None:
-        """Where no delays are told, the loads stand in: ours, as if every balancer held as much here."""
-        if self.settings.tells_delay or now_ms < s.weigh_ms:
+        """Where no delays are told, loads stand in: one fuller than the others is late. All cannot be."""
+        if self.settings.tells_delay or now_ms < s.weigh_ms or not s.ready:
             return
-        s.weigh_ms = now_ms + WEIGH_MS
-        # A load is told when it changes; until then a connection counts at the mean of all told.
-        mean = self.told[0] / self.told[1] if self.told[1] else 0.0
-        work = sum(r.load or mean for r in s.conns.values()) * self.settings.balancers
-        fill = work / (1000.0 * s.share * self.speeds.get(s.kind, 1.0))
-        if fill > FULL_AT:
+        s.weigh_ms, fill = now_ms + WEIGH_MS, self._fill(s)
+        over = fill * len(self.ready) / (sum(self._fill(t) for t in self.ready) or 1.0)
+        if fill > FULL_AT and over > FULL_OVER:
             self._strained(now_ms, s, s.open)
-            if fill > MOVE_AT and self.settings.price_move <= MOVE_DEAR:
+            if fill > MOVE_AT and over > MOVE_OVER and self.settings.price_move <= MOVE_DEAR:
                 self._relieve(s)
 
+    def _fill(self, s: _Server) -> float:
+        """Part of its size that loads take, by ours and as many at each balancer; untold ones at the mean."""
+        mean = self.told[0] / self.told[1] if self.told[1] else 0.0
+        work = sum(r.load or mean for r in s.conns.values()) * self.settings.balancers
+        return work / (1000.0 * s.share * self.speeds.get(s.kind, 1.0))
+
     def _relieve(self, s: _Server) -> None:
         """Messages stay late here: ask a few clients to come again."""
         members: dict[str, int] = {}
--- a/sageturn/store/log.py
+++ b/sageturn/store/log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import os
 import struct
@@ -68,10 +69,20 @@
     def __init__(self, path: Path) -> None:
         self._path = path
         path.parent.mkdir(parents=True, exist_ok=True)
-        data = path.read_bytes() if path.exists() else b""
-        self.records, sound = scan(data)
-        self.cut_off = len(data) - sound
         self._file = open(path, "r+b" if path.exists() else "w+b", buffering=0)  # noqa: SIM115
+        try:
+            # Two writers would tear each other's entries.
+            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self._file.close()
+            raise BlockingIOError(f"{path}: another process has it open") from None
+        data = path.read_bytes()
+        try:
+            self.records, sound = scan(data)
+        except Damaged:
+            self._file.close()
+            raise
+        self.cut_off = len(data) - sound
         self._file.truncate(sound)
         self._file.seek(sound)
         self.size = sound
--- a/sageturn/store/replica.py
+++ b/sageturn/store/replica.py
@@ -48,6 +48,7 @@
         self._pushes: set[asyncio.Queue[list[Record]]] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self.links = 0
+        self.in_step = asyncio.Event()  # set by a replica's digest that equals ours
         store.on_change.append(self._changed)
 
     def start(self) -> None:
@@ -132,6 +133,9 @@
             # Left to the sending side: two replicas that only write would never get to read.
             if missing and not queue.full():
                 queue.put_nowait(missing)
+            mine = self._store.digest()
+            if not missing and all(k in mine and mine[k] >= order for k, order in digest.items()):
+                self.in_step.set()
         else:
             self._store.merge([read_record(obj) for obj in message["records"]])
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -315,6 +315,8 @@
             r.ask()
             r.stands(r.ids)
     at_a = [i for i, sent in relay.sent.items() if sent[-1] == "a"]
+    for i, sent in relay.sent.items():
+        relay.tell(Note(i, 0, sent[-1], "load", 1.0))
     moved = []
     for i in at_a:
         relay.now += 1100.0  # a server is weighed once a second at most
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,181 @@
+"""The store: what a crash, rot, a partition and a stranger do to it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from sageturn.store.__main__ import main as admin
+from sageturn.store.frames import Link, Refused, read_secret
+from sageturn.store.log import Damaged
+from sageturn.store.records import BadRecord, Record
+from sageturn.store.replica import Replica, ReplicaOptions
+from sageturn.store.store import Store
+
+SECRET = read_secret("one secret")
+
+
+def filled(path: Path) -> bytes:
+    store = Store("n1", path)
+    for number in range(3):
+        store.put(f"config/{number}", {"v": number})
+    store.close()
+    return path.read_bytes()
+
+
+def test_what_was_put_is_there_after_a_restart(tmp_path: Path) -> None:
+    filled(tmp_path / "log")
+    store = Store("n1", tmp_path / "log")
+    assert store.keys("config/") == ["config/0", "config/1", "config/2"] and store.get("config/2") == {"v": 2}
+    with pytest.raises(OSError, match="another process"):
+        Store("n1", tmp_path / "log")  # two writers would tear each other's entries
+    store.close()
+
+
+def test_a_torn_tail_is_cut_off_wherever_it_tore(tmp_path: Path) -> None:
+    whole = filled(tmp_path / "log")
+    two = len(whole) - len(whole.split(b'{"key"')[-1]) - 6 - 12
+    for end in range(two, len(whole)):
+        (tmp_path / "log").write_bytes(whole[:end])
+        store = Store("n1", tmp_path / "log")
+        assert store.keys() == ["config/0", "config/1"]
+        store.put("config/9", 9)
+        store.close()
+        again = Store("n1", tmp_path / "log")
+        assert again.get("config/9") == 9
+        again.close()
+
+
+def test_damage_elsewhere_is_an_error_and_not_a_shorter_log(tmp_path: Path) -> None:
+    # A rotten length in the middle looks like a torn tail, and would silently drop all that follows.
+    whole = filled(tmp_path / "log")
+    first = whole.index(b'{"key"')
+    for at in (0, first - 12, first - 9, first - 1, first + 3):
+        (tmp_path / "log").write_bytes(whole[:at] + bytes([whole[at] ^ 0x40]) + whole[at + 1 :])
+        with pytest.raises(Damaged):
+            Store("n1", tmp_path / "log")
+
+
+def test_a_grown_log_is_rewritten_to_what_counts(tmp_path: Path) -> None:
+    store = Store("n1", tmp_path / "log")
+    store._compact_from = 2000
+    for number in range(100):
+        store.put("config/a", number)
+    store.put("config/b", 1)
+    store.close()
+    again = Store("n1", tmp_path / "log")
+    assert (again.get("config/a"), again.get("config/b")) == (99, 1)
+    again.close()
+
+
+def test_the_larger_of_version_and_node_wins_in_any_order() -> None:
+    records = [Record("k", "a", 1, "n1"), Record("k", "b", 2, "n1"), Record("k", "c", 2, "n2")]
+    for order in (records, records[::-1], [records[1], records[2], records[0]]):
+        store = Store("n3")
+        for record in order:
+            store.merge([record])
+        assert store.get("k") == "c"
+
+
+def test_state_keys_are_written_by_their_node_alone() -> None:
+    store = Store("n1")
+    store.put("state/n1/x", 1)
+    with pytest.raises(BadRecord):
+        store.put("state/n2/x", 1)
+
+
+async def until(condition) -> None:  # type: ignore[no-untyped-def]
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def replica(store: Store, *peers: tuple[str, int], secret: bytes = SECRET) -> Replica:
+    made = Replica(store, ReplicaOptions(("127.0.0.1", 0), peers, secret, interval_s=0.05))
+    made.start()
+    return made
+
+
+def test_replicas_converge_after_a_partition_and_pass_records_on() -> None:
+    # b and c write while apart, one key on both sides; a chain of links is enough for all to agree.
+    async def go() -> None:
+        a, b, c = Store("a"), Store("b"), Store("c")
+        ra = replica(a)
+        rb = replica(b, ra.address)
+        b.put("config/x", "first")
+        await until(lambda: a.get("config/x") == "first")
+        await rb.stop()
+        b.put("config/x", "mine")
+        c.put("config/x", "theirs")
+        c.put("config/only-c", 1)
+        a.put("config/x", None)
+        rb, rc = replica(b, ra.address), replica(c, ra.address)
+        await until(lambda: a.digest() == b.digest() == c.digest() and a.get("config/only-c") == 1)
+        assert a.get("config/x") == b.get("config/x") == c.get("config/x") == "mine"
+        a.put("config/live", 5)
+        await until(lambda: c.get("config/live") == 5)
+        for r in (ra, rb, rc):
+            await r.stop()
+
+    asyncio.run(go())
+
+
+def test_a_stranger_and_a_tampered_frame_are_refused() -> None:
+    async def go() -> None:
+        a, b = Store("a"), Store("b")
+        ra = replica(a)
+        stranger = replica(b, ra.address, secret=read_secret("another"))
+        b.put("config/evil", 1)
+        reader, writer = await asyncio.open_connection(*ra.address)
+        writer.write(b"\x00\x00\x00\x02{}")
+        assert await asyncio.wait_for(reader.read(), 5) is not None  # ended, with nothing of the store
+        await asyncio.sleep(0.3)
+        assert a.keys() == [] and ra.links == 0
+        await stranger.stop()
+        await ra.stop()
+
+        import socket
+
+        one, two = socket.socketpair()
+        one.setblocking(False)
+        two.setblocking(False)
+        left, right = Link(one, SECRET, "l"), Link(two, SECRET, "r")
+        await asyncio.gather(left.shake_hands(True), right.shake_hands(False))
+        await left.send({"records": []})
+        assert await right.receive() == {"records": []}
+        left._sent = 0  # the same frame once more, as somebody who recorded it would send it
+        await left.send({"records": []})
+        with pytest.raises(Refused):
+            await right.receive()
+        one.close()
+        two.close()
+
+    asyncio.run(go())
+
+
+def test_an_operator_adds_an_account_offline_and_to_a_running_daemon(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    import io
+
+    path = str(tmp_path / "log")
+    monkeypatch.setattr("sys.stdin", io.StringIO("secret word\n"))
+    assert admin(["--path", path, "account", "lan", "--class", "c", "--tenant", "t"]) == 0
+    assert admin(["--path", path, "get", "config/accounts/lan"]) == 0
+    record = json.loads(capsys.readouterr().out)
+    assert record["tenant"] == "t" and "secret word" not in (tmp_path / "log").read_text(errors="replace")
+
+    (tmp_path / "secret").write_text("one secret\n")
+
+    async def go() -> None:
+        store = Store("daemon")
+        running = replica(store)
+        where = ["--connect", "{}:{}".format(*running.address), "--secret-file", str(tmp_path / "secret")]
+        assert await asyncio.to_thread(admin, [*where, "put", "config/log_level", '"DEBUG"']) == 0
+        assert store.get("config/log_level") == "DEBUG"
+        await running.stop()
+
+    asyncio.run(go())
