Accept XMPP clients and call XMPP servers through the same core

The bind is the request, so a stream restarted for TLS or SASL is placed once. On a drain a stanza on the wire is finished, then a stream error and the close follow. Operator's file, store, replicas and flow export are wired into the relay.

Seen while testing: stanzas of one empty tag raised IndexError in StreamParser._tag_end. Cause: expat points at an end tag, but past the end of an empty element. Checked by the scripted client's <starttls/>.

Cause: told loads changed the order in which _relieve moves clients where delays are told too. A loopback test mixes both protocols: placements and answers are identical for line, mixed and stream traffic.

--- a/sageturn/__main__.py
+++ b/sageturn/__main__.py
@@ -11,6 +11,7 @@
 
 from sageturn import config
 from sageturn.relay import Relay
+from sageturn.store.log import Damaged
 
 
 def main() -> int:
@@ -25,8 +26,8 @@
     logging.basicConfig(level=settled.log_level, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
         relay = Relay(settled)
-    except OSError as error:
-        print(f"sageturn: listen: {error}", file=sys.stderr)
+    except (OSError, Damaged) as error:
+        print(f"sageturn: {error}", file=sys.stderr)
         return 2
     gc.freeze()  # what was made at the start stays: collections need not walk it again and again
     uvloop.run(relay.run())
--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -4,15 +4,21 @@
 
 import json
 import os
-from collections.abc import Mapping
+import ssl
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
 from sageturn import interface as api
 from sageturn.core.messages import Listed
+from sageturn.flows.exporter import FlowOptions
+from sageturn.fronts.xmpp.options import EndpointOptions, XmppOptions
 from sageturn.net.discovery import BadList, parse_address, read_listed
 from sageturn.settings import read_settings
+from sageturn.store.frames import read_secret
+from sageturn.store.replica import ReplicaOptions
 
 Address = tuple[str, int]
 T = TypeVar("T")
@@ -70,6 +76,16 @@
         raise ConfigError(f"{where}: {error}") from None
 
 
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """What an operator's file turns on; all of it is off on the platform."""
+
+    store_path: Path | None = None
+    replication: ReplicaOptions | None = None
+    xmpp: XmppOptions | None = None
+    flows: FlowOptions | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
@@ -80,7 +96,7 @@
     settings: api.Settings
     known: Listed
     log_level: str = "INFO"
-    operator: Section = field(default_factory=lambda: Section({}, ""))
+    operator: Operator = field(default_factory=Operator)
 
 
 def read_json(path: str, where: str) -> Any:
@@ -113,10 +129,118 @@
         settings=_settings(top),
         known=_known(top),
         log_level=_log_level(env.get("SAGETURN_LOG", "INFO")),
-        operator=Section(read_json(operator_file, "operator"), "") if operator_file else Section({}, ""),
+        operator=read_operator(Path(operator_file)) if operator_file else Operator(),
+    )
+
+
+# ---------------------------------------------------------------- the operator's file
+
+
+def read_operator(file: Path) -> Operator:
+    """Paths in it are taken from where the file lies."""
+    top = Section(read_json(str(file), "operator"), "operator")
+    top.only("store", "xmpp", "flows")
+    store = top.section("store")
+    store.only("path", "listen", "peers", "secret_file", "interval_s")
+    return Operator(
+        store_path=file.parent / store.get("path", str) if store.has("path") else None,
+        replication=_replication(store, file.parent) if store.has("listen") else None,
+        xmpp=_xmpp(top.section("xmpp"), file.parent) if top.has("xmpp") else None,
+        flows=_flows(top.section("flows")) if top.has("flows") else None,
+    )
+
+
+def _replication(store: Section, folder: Path) -> ReplicaOptions:
+    peers = []
+    for number, peer in enumerate(store.get("peers", list, [])):
+        where = f"{store.path('peers')}[{number}]"
+        if not isinstance(peer, str):
+            raise ConfigError(f"{where}: has the wrong type")
+        peers.append(read_address(where, peer))
+    return ReplicaOptions(
+        listen=store.address("listen"),
+        peers=tuple(peers),
+        secret=read_secret(_secret(store, "secret_file", folder)),
+        interval_s=store.number("interval_s", 2.0, least=0.05),
+    )
+
+
+def _flows(flows: Section) -> FlowOptions:
+    flows.only("collector", "domain", "template_s", "queue")
+    return FlowOptions(
+        collector=flows.address("collector"),
+        domain=int(flows.number("domain", 1)),
+        template_s=flows.number("template_s", 30.0, least=1.0),
+        queue=int(flows.number("queue", 4096, least=1)),
     )
 
 
+def _xmpp(xmpp: Section, folder: Path) -> XmppOptions:
+    xmpp.only("listen", "domain", "certificate", "key", "wait_ms", "negotiate_s", "mute_s", "endpoint")
+    tls = None
+    if xmpp.has("certificate"):
+        tls = _context(xmpp, "certificate", ssl.PROTOCOL_TLS_SERVER)
+        files = (str(folder / xmpp.get(key, str)) for key in ("certificate", "key"))
+        with _naming(xmpp, "certificate"):
+            tls.load_cert_chain(*files)
+    endpoint = xmpp.section("endpoint")
+    endpoint.only("domain", "username", "password_file", "tls", "ca_file", "port")
+    return XmppOptions(
+        listen=xmpp.address("listen"),
+        domain=xmpp.get("domain", str),
+        tls=tls,
+        wait_ms=xmpp.number("wait_ms", 3000.0, least=1.0),
+        endpoint=EndpointOptions(
+            domain=endpoint.get("domain", str, xmpp.get("domain", str)),
+            username=endpoint.get("username", str),
+            password=_secret(endpoint, "password_file", folder),
+            tls=_endpoint_tls(endpoint, folder),
+        ),
+        port=int(endpoint.number("port", 0)),
+        negotiate_s=xmpp.number("negotiate_s", 10.0, least=0.1),
+        mute_s=xmpp.number("mute_s", 5.0, least=0.1),
+    )
+
+
+def _endpoint_tls(endpoint: Section, folder: Path) -> ssl.SSLContext | None:
+    if not endpoint.get("tls", bool, True):
+        return None
+    context = _context(endpoint, "ca_file", ssl.PROTOCOL_TLS_CLIENT)
+    with _naming(endpoint, "ca_file"):
+        if endpoint.has("ca_file"):
+            context.load_verify_locations(str(folder / endpoint.get("ca_file", str)))
+        else:
+            context.load_default_certs()
+    return context
+
+
+def _context(section: Section, key: str, protocol: int) -> ssl.SSLContext:
+    with _naming(section, key):
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        return context
+
+
+@contextmanager
+def _naming(section: Section, key: str) -> Iterator[None]:
+    try:
+        yield
+    except OSError as error:  # ssl's own errors are of this kind too
+        raise ConfigError(f"{section.path(key)}: {error.strerror or error}") from None
+
+
+def _secret(section: Section, key: str, folder: Path) -> str:
+    """Secrets stand in files of their own, so that the operator's file can be shown around."""
+    with _naming(section, key):
+        text = (folder / section.get(key, str)).read_text(encoding="utf-8").strip()
+    if not text:
+        raise ConfigError(f"{section.path(key)}: is empty")
+    return text
+
+
+# ---------------------------------------------------------------- GW_CONFIG's parts
+
+
 def _seed(top: Section) -> int:
     text = top.get("seed", str)
     try:
--- a/sageturn/core/drain.py
+++ b/sageturn/core/drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterator
 
 from sageturn.core.requests import RequestLife
 
@@ -28,6 +29,9 @@
     def __len__(self) -> int:
         return len(self._lives)
 
+    def __iter__(self) -> Iterator[RequestLife]:
+        return iter(self._lives)
+
     def add(self, life: RequestLife) -> None:
         self._lives.add(life)
         self._empty.clear()
--- a/sageturn/fronts/xmpp/stream.py
+++ b/sageturn/fronts/xmpp/stream.py
@@ -63,6 +63,7 @@
         self._from = 0
         self._fed = 0
         self._began = 0
+        self._bare = False  # nothing has come since the last start tag
         self._builder = TreeBuilder()
         self.pieces: deque[Piece] = deque()
 
@@ -114,6 +115,7 @@
                 self._began = self._parser.CurrentByteIndex
                 self._builder = TreeBuilder()
             self._builder.start(_name(name), {_name(k): v for k, v in attributes.items()})
+        self._bare = True
         self._depth += 1
         if self._depth > DEPTH_MOST:
             raise StreamFault("policy-violation", "too deep")
@@ -131,21 +133,16 @@
                 raise StreamFault("policy-violation", "too large")
             self.pieces.append(Stanza(raw, self._builder.close()))
             self._drop(self._from + end)
+        self._bare = False
 
     def _tag_end(self, at: int) -> int:
-        """Just past the > that ends the tag at ``at``; expat tells only where a tag begins."""
-        quote = 0
-        while True:
-            byte = self._kept[at]
-            at += 1
-            if quote:
-                quote = 0 if byte == quote else quote
-            elif byte in b"\"'":
-                quote = byte
-            elif byte == 0x3E:
-                return at
+        """Where the element that ends here ends. Expat points at an end tag, but past an empty element."""
+        if self._bare and self._kept[at - 2 : at] == b"/>":
+            return at
+        return self._kept.index(b">", at) + 1
 
     def _text(self, data: str) -> None:
+        self._bare = False
         if self._depth > 1:
             self._builder.data(data)
         elif data.strip():
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import signal
+from collections import Counter
 
 from sageturn.config import Config
 from sageturn.core.clock import Clock
@@ -14,12 +15,21 @@
 from sageturn.core.requests import Record
 from sageturn.core.shared import Shared
 from sageturn.core.tasks import end_task
+from sageturn.flows.exporter import Exporter
 from sageturn.fronts.platform import PlatformFront
+from sageturn.fronts.xmpp.accounts import Accounts
+from sageturn.fronts.xmpp.front import XmppFront
 from sageturn.net.discovery import DiscoveryClient
 from sageturn.net.listener import Listener
+from sageturn.store.records import Record as Stored
+from sageturn.store.replica import Replica
+from sageturn.store.store import Store
 
 log = logging.getLogger(__name__)
 
+LOG_LEVEL = "config/log_level"
+STATE_S = 5.0
+
 
 class Relay:
     def __init__(self, config: Config) -> None:
@@ -32,11 +42,47 @@
         self.shared = Shared(self.module, self.destinations, self.lives, self._ended)
         front = PlatformFront(self.shared)
         self.listener = Listener(config.listen, front.serve, front.turn_away)
+        operator = config.operator
+        self.store = Store(config.name, operator.store_path)
+        self.store.on_change.append(self._changed)
+        self.replica = Replica(self.store, operator.replication) if operator.replication else None
+        self.exporter = Exporter(operator.flows) if operator.flows else None
+        self.xmpp: Listener | None = None
+        if operator.xmpp is not None:
+            accounts = Accounts(self.store)
+            second = XmppFront(self.shared, operator.xmpp, accounts)
+            self.xmpp = Listener(operator.xmpp.listen, second.serve, second.turn_away)
+        self._counts: Counter[str] = Counter()
+        self._set_log_level()
 
     def _want_watch(self) -> None:
         self.destinations.want_watch()
 
+    def _changed(self, records: list[Stored]) -> None:
+        if any(record.key == LOG_LEVEL for record in records):
+            self._set_log_level()
+
+    def _set_log_level(self) -> None:
+        """The store's word on it goes for every node; one that is no level is passed over."""
+        level = self.store.get(LOG_LEVEL)
+        if level in ("DEBUG", "INFO", "WARNING", "ERROR"):
+            logging.getLogger().setLevel(level)
+
+    async def _tell_state(self) -> None:
+        """What this node has done, where an operator can read it at any replica."""
+        key = f"state/{self.store.node}/relay"
+        while True:
+            standing = sum(life.standing for life in self.lives)
+            dropped = self.exporter.dropped if self.exporter else 0
+            state = {"standing": standing, "ended": dict(self._counts), "flows_dropped": dropped}
+            if state != self.store.get(key):
+                self.store.put(key, state)
+            await asyncio.sleep(STATE_S)
+
     def _ended(self, record: Record) -> None:
+        self._counts[record.ending.name.lower() if record.ending else "not_placed"] += 1
+        if self.exporter is not None:
+            self.exporter.ended(record)
         log.info(
             "%s %s to %s after %d calls and %.1f s: %s%s",
             record.front,
@@ -49,14 +95,25 @@
         )
 
     def start(self) -> None:
-        runs = (self.module.run, self.destinations.run, self.listener.run)
+        runs = [self.module.run, self.destinations.run, self.listener.run, self._tell_state]
+        if self.xmpp is not None:
+            runs.append(self.xmpp.run)
+        if self.exporter is not None:
+            runs.append(self.exporter.run)
+        if self.replica is not None:
+            self.replica.start()
         self._actors = [asyncio.ensure_future(run()) for run in runs]
 
     async def stop(self) -> None:
         """At once: whatever still stands is cut off."""
         await self.discovery.stop()
+        if self.replica is not None:
+            await self.replica.stop()
         for actor in self._actors:
             await end_task(actor)
+        for listener in filter(None, (self.listener, self.xmpp)):
+            await listener.cancel()
+        self.store.close()
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -71,5 +128,6 @@
             if actor.done():
                 actor.result()  # an actor that ends by itself is a fault: let it be seen
         await self.lives.drain()
-        await self.listener.finish(0.1)
+        for listener in filter(None, (self.listener, self.xmpp)):
+            await listener.finish(0.1)
         await self.stop()
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -548,7 +548,7 @@
             return
         if e.kind == "load":
             r = s.conns.get(e.id)
-            if r is not None:
+            if r is not None and not self.settings.tells_delay:
                 r.load, self.told = e.value, [self.told[0] + e.value, self.told[1] + 1.0]
                 self._weigh(now_ms, s)
             return
@@ -562,7 +562,7 @@
 
     def _weigh(self, now_ms: float, s: _Server) -> None:
         """Where no delays are told, loads stand in: one fuller than the others is late. All cannot be."""
-        if self.settings.tells_delay or now_ms < s.weigh_ms or not s.ready:
+        if now_ms < s.weigh_ms or not s.ready:
             return
         s.weigh_ms, fill = now_ms + WEIGH_MS, self._fill(s)
         over = fill * len(self.ready) / (sum(self._fill(t) for t in self.ready) or 1.0)
--- /dev/null
+++ b/tests/test_xmpp.py
@@ -0,0 +1,300 @@
+"""Stories on the XMPP front, and the proof that both fronts decide alike."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import pytest
+import trustme
+from net_peers import Discovery, Endpoint, ask, chunked, first_line, listed, served, write_config
+from xmpp_peers import HEADER, Client, Server, echo
+
+from sageturn.config import load
+from sageturn.fronts.xmpp.accounts import PREFIX, make_record
+from sageturn.relay import Relay
+from sageturn.store.store import Store
+
+CA = trustme.CA()
+CERT = CA.issue_cert("guides.example")
+
+
+def client_tls() -> ssl.SSLContext:
+    context = ssl.create_default_context()
+    CA.configure_trust(context)
+    return context
+
+
+def server_tls() -> ssl.SSLContext:
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    CERT.configure_cert(context)
+    return context
+
+
+def story(coro):  # type: ignore[no-untyped-def]
+    return asyncio.run(asyncio.wait_for(coro, 30))
+
+
+def write_operator(folder: Path, endpoint_tls: bool, **more: object) -> Path:
+    (folder / "pw").write_text("relay-pw\n")
+    CERT.cert_chain_pems[0].write_to_path(folder / "cert.pem")
+    CERT.private_key_pem.write_to_path(folder / "key.pem")
+    CA.cert_pem.write_to_path(folder / "ca.pem")
+    endpoint = {"username": "relay", "password_file": "pw", "tls": endpoint_tls, "ca_file": "ca.pem"}
+    xmpp = {
+        "listen": "127.0.0.1:0", "domain": "guides.example", "certificate": "cert.pem", "key": "key.pem",
+        "wait_ms": 2000, "endpoint": endpoint, **more,
+    }  # fmt: skip
+    store = Store("n1", folder / "store")
+    for name in ("lan", "mai"):
+        store.put(PREFIX + name, make_record("pw", "c", "t", iterations=4096))
+    store.close()
+    file = folder / "operator.json"
+    file.write_text(json.dumps({"xmpp": xmpp, "store": {"path": "store"}}))
+    return file
+
+
+@asynccontextmanager
+async def relaying(
+    folder: Path, *acts: Callable[[Server], Awaitable[None]], tls: bool = False, **more: object
+) -> AsyncIterator[tuple[Relay, list[Endpoint]]]:
+    def script(act: Callable[[Server], Awaitable[None]]) -> Endpoint:
+        async def play(r: asyncio.StreamReader, w: asyncio.StreamWriter, line: bytes) -> None:
+            if line.startswith(b"OPEN"):  # the same host in the platform's words
+                w.write(b"BUSY\r\n" if act is turns_away else b"UP r1\r\n")
+                if act is turns_away:
+                    return
+                while said := await r.readline():
+                    w.write(said)
+                return
+            server = Server(r, w)
+            server.seen = line.decode()
+            await act(server)
+
+        class Peeking(Endpoint):
+            async def serve(self, r: asyncio.StreamReader, w: asyncio.StreamWriter) -> None:
+                line = await r.read(4096)
+                self.lines.append(line)
+                try:
+                    await self.script(r, w, line)
+                except (OSError, AssertionError):
+                    pass
+                finally:
+                    w.close()
+
+        return Peeking(play)
+
+    endpoints = [script(act) for act in acts]
+    async with AsyncExitStack() as stack:
+        for endpoint in endpoints:
+            await stack.enter_async_context(served(endpoint))
+        names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
+        discovery = Discovery(chunked(listed(names, 2)))
+        await stack.enter_async_context(served(discovery))
+        file = write_config(folder, discovery.address, listed(names))
+        relay = Relay(load({"GW_CONFIG": str(file)}, str(write_operator(folder, tls, **more))))
+        relay.module.placements = []
+        relay.start()
+        stack.push_async_callback(relay.stop)
+        yield relay, endpoints
+
+
+def test_a_session_stands_over_tls_and_a_restarted_stream_is_one_request(tmp_path: Path) -> None:
+    # The stream starts three times, for TLS and SASL; only the bind is a request, and it is placed once.
+    async def go() -> None:
+        async with relaying(tmp_path, lambda s: echo(s, server_tls()), tls=True) as (relay, _):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            assert relay.module.placements == []
+            assert await client.bind("desk") == "relay@guides.example/desk"
+            message = "<message to='x' id=\"q>1\"><body>a &amp; b &lt; c</body><e a='>'/></message>"
+            client.say(message[:20])
+            await asyncio.sleep(0.02)
+            client.say(message[20:])
+            assert (await client.hear("<message.*?</message>"))[0] == message  # as it stood on the wire
+            assert len(relay.module.placements) == 1
+            client.say("</stream:stream>")
+            assert (await client.rest()).strip() == "</stream:stream>"
+
+    story(go())
+
+
+def test_plain_is_offered_under_tls_and_a_wrong_password_is_no_request(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with relaying(tmp_path, echo) as (relay, _):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls(), plain=True)
+            assert (await client.bind()).endswith("lan/desk")
+            for plain in (True, False):
+                wrong = await Client.connect(relay.xmpp.address)
+                with pytest.raises((AssertionError, TimeoutError)):
+                    async with asyncio.timeout(1):
+                        await wrong.login(client_tls(), password="nope", plain=plain)
+                assert "<not-authorized/>" in wrong.seen
+            assert len(relay.module.placements) == 1
+
+    story(go())
+
+
+@pytest.mark.parametrize(
+    ("said", "condition"),
+    [
+        ("<!DOCTYPE x [<!ENTITY a 'b'>]>" + HEADER.format("to"), "restricted-xml"),
+        (HEADER.format("to") + "<a>&undefined;</a>", "not-well-formed"),
+        (HEADER.format("to") + "<!-- c -->", "restricted-xml"),
+        (HEADER.format("to") + "<?pi x?>", "restricted-xml"),
+        (HEADER.format("to") + "<a>" * 80, "policy-violation"),
+        (HEADER.format("to") + "<a b='" + "x" * 70000 + "'/>", "policy-violation"),
+        (HEADER.format("to") + "<x:a/>", "bad-namespace-prefix"),
+        (HEADER.format("to").replace("guides", "other"), "host-unknown"),
+        ("<a/>", "invalid-namespace"),
+        ("<?xml version='1.0' encoding='utf-16'?>" + HEADER.format("to")[21:], "unsupported-encoding"),
+        (HEADER.format("to") + "<iq type='set' id='b'/>", "policy-violation"),
+        ("\x00\x01", "not-well-formed"),
+        ("", "connection-timeout"),
+    ],
+)
+def test_what_must_be_refused_ends_in_its_defined_error(tmp_path: Path, said: str, condition: str) -> None:
+    async def go() -> None:
+        async with relaying(tmp_path, echo, negotiate_s=0.5) as (relay, (endpoint,)):
+            client = await Client.connect(relay.xmpp.address)
+            client.say(said)
+            heard = await client.rest()
+            assert f"<{condition} xmlns='urn:ietf:params:xml:ns:xmpp-streams'/>" in heard
+            assert heard.endswith("</stream:stream>") and "<stream:stream" in heard
+            assert endpoint.lines == []
+
+    story(go())
+
+
+async def turns_away(server: Server) -> None:
+    await server.accept()
+    server.say(
+        "<stream:error><resource-constraint xmlns='urn:ietf:params:xml:ns:xmpp-streams'/></stream:error>"
+    )
+
+
+async def breaks(server: Server) -> None:
+    await server.accept()
+    server.writer.transport.abort()
+
+
+async def silence(server: Server) -> None:
+    await server.rest()
+
+
+@pytest.mark.parametrize("act", [turns_away, breaks, silence])
+def test_three_calls_at_most_and_one_final_answer_with_its_condition(
+    tmp_path: Path, act: Callable[[Server], Awaitable[None]]
+) -> None:
+    async def go() -> None:
+        async with relaying(tmp_path, *[act] * 5, wait_ms=900) as (relay, endpoints):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            began = asyncio.get_running_loop().time()
+            client.wish()
+            heard = await client.rest()
+            assert asyncio.get_running_loop().time() - began < 1.6
+            assert heard.count("<stream:error>") == 1 and heard.endswith("</stream:stream>")
+            assert "resource-constraint" in heard
+            assert 1 <= sum(len(e.lines) for e in endpoints) <= 3
+
+    story(go())
+
+
+def test_a_drain_finishes_the_stanza_on_the_wire_and_ends_the_stream(tmp_path: Path) -> None:
+    # The stanza is half at the relay when the drain begins: the client must get it whole, or not at all.
+    async def slow_speaker(server: Server) -> None:
+        server.bound(await server.accept())
+        server.say("<message><body>half")
+        await server.hear("<presence/>")
+        await asyncio.sleep(0.6)  # into the drain
+        server.say(" and half</body></message>")
+        await server.rest()
+
+    async def go() -> None:
+        async with relaying(tmp_path, slow_speaker) as (relay, _):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            await client.bind()
+            client.say("<presence/>")
+            draining = asyncio.ensure_future(relay.lives.drain())
+            heard = await client.rest()
+            assert heard.startswith("<message><body>half and half</body></message><stream:error><reset ")
+            assert heard.endswith("</stream:error></stream:stream>")
+            client.writer.close()
+            await draining
+            assert len(relay.lives) == 0
+
+    story(go())
+
+
+def test_an_endpoint_that_drains_mid_stanza_leaves_a_clean_stream(tmp_path: Path) -> None:
+    async def dies(server: Server) -> None:
+        server.bound(await server.accept())
+        server.say("<message><body>half")
+        await server.writer.drain()
+
+    async def go() -> None:
+        async with relaying(tmp_path, dies) as (relay, _):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            await client.bind()
+            heard = await client.rest()
+            assert heard.startswith("<stream:error>") and heard.endswith("</stream:stream>")
+
+    story(go())
+
+
+def test_both_fronts_place_and_answer_alike(tmp_path: Path) -> None:
+    # The proof of one core: the same traffic in either protocol, and mixed, gives the same placements.
+    async def go(fronts: str, folder: Path) -> tuple[list[str], list[str]]:
+        folder.mkdir()
+        async with relaying(folder, echo, turns_away, echo, echo) as (relay, _):
+            while relay.destinations.version != 2:
+                await asyncio.sleep(0.01)
+            answers = []
+            held: list[object] = []
+            for front in fronts:
+                if front == "x":
+                    client = await Client.connect(relay.xmpp.address)
+                    await client.login(client_tls())
+                    client.wish()
+                    found = await client.hear("<jid>|<resource-constraint |<remote-connection-failed ")
+                    answers.append("served" if found[0] == "<jid>" else found[0][1:-1])
+                    held.append(client)
+                else:
+                    reader, writer = await ask(relay.listener.address, first_line())
+                    word = (await reader.readline()).split()[0]
+                    answers.append("served" if word == b"UP" else word.decode())
+                    held.append(writer)
+                await asyncio.sleep(0.01)
+            placed = [endpoint for _, endpoint in relay.module.placements or []]
+            return placed, answers
+
+    async def turned_away_lines() -> None:
+        line = await go("pppppppp", tmp_path / "p")
+        mixed = await go("pxpxxpxp", tmp_path / "m")
+        stream = await go("xxxxxxxx", tmp_path / "x")
+        assert line == mixed == stream
+        assert len(line[0]) >= 8 and set(line[1]) == {"served"}
+
+    story(turned_away_lines())
+
+
+def test_a_faulty_operators_file_names_its_key(tmp_path: Path) -> None:
+    from sageturn.config import ConfigError, read_operator
+
+    good = json.loads(write_operator(tmp_path, True).read_text())
+    for change, key in (
+        ({"listen": 5}, "operator.xmpp.listen"), ({"lisden": 1}, "operator.xmpp.lisden"),
+        ({"certificate": "no.pem"}, "operator.xmpp.certificate"),
+        ({"endpoint": {"username": "r", "password_file": "gone"}}, "operator.xmpp.endpoint.password_file"),
+    ):  # fmt: skip
+        (tmp_path / "bad.json").write_text(json.dumps({"xmpp": {**good["xmpp"], **change}}))
+        with pytest.raises(ConfigError, match=key):
+            read_operator(tmp_path / "bad.json")
