--- a/sageturn/__main__.py
+++ b/sageturn/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import gc
 import logging
+import resource
 import sys
 
 import uvloop
@@ -29,6 +30,10 @@
     except (OSError, Damaged) as error:
         print(f"sageturn: {error}", file=sys.stderr)
         return 2
+    # So that running out shows as an error that the listener knows how to answer.
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard == resource.RLIM_INFINITY or hard >= settled.sockets:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (settled.sockets, hard))
     gc.freeze()  # what was made at the start stays: collections need not walk it again and again
     uvloop.run(relay.run())
     return 0
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -72,6 +72,9 @@
         await self._shared.run(peer.life)
 
     async def _pong(self, sock: socket.socket) -> bool:
+        if self._shared.lives.stopping:
+            await _refuse_line(sock, "stopping")
+            return False
         try:
             async with asyncio.timeout(READY_S):
                 await self._shared.destinations.usable.wait()
--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from sageturn.core.tasks import end_task
 from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, listen, prepare
@@ -15,6 +16,7 @@
 
 Serve = Callable[[socket.socket], Awaitable[None]]
 SHORT_PAUSE_S = 0.02
+SHORT_READ_S = 0.1
 
 
 class Listener:
@@ -67,15 +69,27 @@
             self._spare = None
             try:
                 sock, _ = self._sock.accept()
-                sock.send(self._turn_away)
-                sock.close()
             except OSError:
                 await asyncio.sleep(SHORT_PAUSE_S)
+            else:
+                await self._turn_away_one(sock)
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY)
         except OSError:
             self._spare = None
 
+    async def _turn_away_one(self, sock: socket.socket) -> None:
+        """Its first bytes are read before the answer: closed over unread ones, the answer would be lost."""
+        sock.setblocking(False)
+        try:
+            with suppress(OSError, TimeoutError):
+                async with asyncio.timeout(SHORT_READ_S):
+                    await asyncio.get_running_loop().sock_recv_into(sock, bytearray(8192))
+            with suppress(OSError):
+                sock.send(self._turn_away)
+        finally:
+            sock.close()
+
     async def finish(self, patience_s: float) -> None:
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=patience_s)
--- a/tests/net_peers.py
+++ b/tests/net_peers.py
@@ -128,7 +128,9 @@
         server.close()
 
 
-def write_config(folder: Path, discovery: tuple[str, int], known: dict[str, Any] | None, **more: Any) -> Path:
+def write_config(
+    folder: Path, discovery: tuple[str, int], known: dict[str, Any] | None = None, **more: Any
+) -> Path:
     file = folder / "config.json"
     content = {
         "name": "n1", "listen": "127.0.0.1:0", "discovery": f"{discovery[0]}:{discovery[1]}", "seed": "0a",
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,113 @@
+"""The real program, started as the platform starts it, and spoken to over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from net_peers import Discovery, Endpoint, ask, chunked, first_line, listed, reply, served, up, write_config
+
+Address = tuple[str, int]
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@asynccontextmanager
+async def program(
+    folder: Path, **more: Any
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
+    async with AsyncExitStack() as stack:
+        endpoint = Endpoint(up)
+        await stack.enter_async_context(served(endpoint))
+        discovery = Discovery(chunked(listed({"a": endpoint.address}, 2)))
+        await stack.enter_async_context(served(discovery))
+        address = ("127.0.0.1", free_port())
+        known = listed({"a": endpoint.address})
+        file = write_config(folder, discovery.address, known, listen=f"{address[0]}:{address[1]}", **more)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sageturn", env={**os.environ, "GW_CONFIG": str(file)},
+            stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            async with asyncio.timeout(10):
+                while True:
+                    try:
+                        assert await reply(address, b"PING\r\n") == b"PONG\r\n"
+                        break
+                    except ConnectionRefusedError:
+                        await asyncio.sleep(0.02)
+            yield process, address
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+
+def test_sigterm_answers_all_moves_all_and_ends_well(tmp_path: Path) -> None:
+    # What is still held when SIGKILL comes, 3.7 s after SIGTERM at the earliest, is lost.
+    async def go() -> None:
+        async with program(tmp_path) as (process, address):
+            clients = [await ask(address, first_line()) for _ in range(10)]
+            for reader, _ in clients:
+                assert await reader.readline() == b"UP r1\r\n"
+            began = asyncio.get_running_loop().time()
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            assert await reply(address, first_line()) == b"UP r1\r\n"  # new ones keep coming for a while
+            for reader, writer in clients:
+                assert await asyncio.wait_for(reader.read(), 4) == b"MOVE\r\n"
+                writer.close()
+            assert await process.wait() == 0
+            assert asyncio.get_running_loop().time() - began < 3.6
+
+    asyncio.run(asyncio.wait_for(go(), 30))
+
+
+def test_out_of_descriptors_everyone_is_still_answered(tmp_path: Path) -> None:
+    # A client left in the backlog has been taken by the machine, and would be lost.
+    async def go() -> None:
+        async with program(tmp_path, limits={"sockets": 40}) as (process, address):
+            clients = [await ask(address, first_line(3000)) for _ in range(60)]
+            words = [(await asyncio.wait_for(r.readline(), 5))[:4] for r, _ in clients]
+            assert set(words) == {b"UP r", b"BUSY"} and process.returncode is None
+            for _, writer in clients:
+                writer.close()
+            async with asyncio.timeout(5):
+                while await reply(address, first_line()) != b"UP r1\r\n":
+                    await asyncio.sleep(0.05)
+
+    asyncio.run(asyncio.wait_for(go(), 30))
+
+
+def start(folder: Path, change: dict[str, Any]) -> tuple[int, str]:
+    async def go() -> tuple[int, str]:
+        file = write_config(folder, ("127.0.0.1", 1), **change)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "sageturn", env={**os.environ, "GW_CONFIG": str(file)},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        _, said = await asyncio.wait_for(process.communicate(), 10)
+        return process.returncode or 0, said.decode()
+
+    return asyncio.run(go())
+
+
+def test_a_faulty_configuration_ends_the_program_and_names_its_key(tmp_path: Path) -> None:
+    known = {"version": 1, "servers": [{"id": "a"}]}
+    faults = (({"listen": "nowhere"}, "listen"), ({"known": known}, "known"), ({"seed": 1}, "seed"))
+    for change, key in faults:
+        code, said = start(tmp_path, change)
+        assert code == 2 and said.startswith(f"sageturn: {key}") and said.count("\n") == 1
+    assert json.loads((tmp_path / "config.json").read_text())["seed"] == 1
--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -250,40 +250,48 @@
     story(go())
 
 
-def test_both_fronts_place_and_answer_alike(tmp_path: Path) -> None:
-    # The proof of one core: the same traffic in either protocol, and mixed, gives the same placements.
-    async def go(fronts: str, folder: Path) -> tuple[list[str], list[str]]:
+ANSWERS = {
+    "UP": "served", "<jid>": "served", "BUSY": "fail-fast", "<resource-constraint ": "fail-fast",
+    "FAIL": "failed", "<remote-connection-failed ": "failed",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("acts", "expected"),
+    [([echo, turns_away, echo, echo], {"served"}), ([turns_away] * 4, {"fail-fast"})],
+)
+def test_both_fronts_place_and_answer_alike(
+    tmp_path: Path, acts: list[Callable[[Server], Awaitable[None]]], expected: set[str]
+) -> None:
+    # The proof of one core: the same traffic in either protocol, and mixed, gives the same placements
+    # and answers. Clients stay until the end, so each placement depends on all before it.
+    async def go(fronts: str) -> tuple[list[tuple[int, str]], list[str]]:
+        folder = tmp_path / fronts
         folder.mkdir()
-        async with relaying(folder, echo, turns_away, echo, echo) as (relay, _):
+        async with relaying(folder, *acts) as (relay, _):
             while relay.destinations.version != 2:
                 await asyncio.sleep(0.01)
-            answers = []
-            held: list[object] = []
+            answers, held = [], list[object]()
             for front in fronts:
                 if front == "x":
                     client = await Client.connect(relay.xmpp.address)
                     await client.login(client_tls())
                     client.wish()
                     found = await client.hear("<jid>|<resource-constraint |<remote-connection-failed ")
-                    answers.append("served" if found[0] == "<jid>" else found[0][1:-1])
+                    answers.append(ANSWERS[found[0]])
                     held.append(client)
                 else:
                     reader, writer = await ask(relay.listener.address, first_line())
-                    word = (await reader.readline()).split()[0]
-                    answers.append("served" if word == b"UP" else word.decode())
+                    answers.append(ANSWERS[(await reader.readline()).split()[0].decode()])
                     held.append(writer)
-                await asyncio.sleep(0.01)
-            placed = [endpoint for _, endpoint in relay.module.placements or []]
-            return placed, answers
+            return relay.module.placements or [], answers
 
-    async def turned_away_lines() -> None:
-        line = await go("pppppppp", tmp_path / "p")
-        mixed = await go("pxpxxpxp", tmp_path / "m")
-        stream = await go("xxxxxxxx", tmp_path / "x")
+    async def compare() -> None:
+        line, mixed, stream = await go("pppppppp"), await go("pxpxxpxp"), await go("xxxxxxxx")
         assert line == mixed == stream
-        assert len(line[0]) >= 8 and set(line[1]) == {"served"}
+        assert len(line[0]) >= 8 and set(line[1]) == expected
 
-    story(turned_away_lines())
+    story(compare())
 
 
 def test_a_faulty_operators_file_names_its_key(tmp_path: Path) -> None:
