Close a host whose set-ups take three times the usual

Cause: only resets showed it, for 2.5 s each, so its groups' clients were placed there again (rules.py _pick, homes). Checked with every load and set-up time logged: set-ups there took 130 to 230 ms against 30 to 50 elsewhere, while its told loads were ordinary. Ruled out: loads (known for all connections after 2 s) and the list.

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -56,6 +56,7 @@
 WEIGH_MS = 1000.0  # where no delays are told, a server's loads are weighed this often
 FULL_AT, FULL_OVER = 0.7, 1.25  # part of what its size carries, and times the mean: it counts as late
 MOVE_AT, MOVE_OVER = 0.8, 1.5  # and from here on it is relieved
+LAG_NEW, LAG_LATE = 0.5, 1.1  # weight of the latest set-up; three times the usual shows a slow server
 COLD_CARE = 0.8  # of the multiple of what fills a cold server over its warm-up, many balancers use this,
 COLD_EVEN = 4.8  # and few use more, by this over their number: theirs are evenly spaced, not piled by chance,
 COLD_MOST = 2.0  # up to this: servers were seen to take three to four times what so fills them
@@ -67,8 +68,8 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "name", "zone", "cell", "kind", "share", "spare", "pooled", "hash", "state", "started_ms", "weigh_ms",
-        "open", "pending", "limit", "fresh",
+        "name", "zone", "cell", "kind", "share", "spare", "pooled", "hash", "state", "started_ms",
+        "open", "pending", "limit", "fresh", "weigh_ms", "lag",
         "ready", "fails", "out_until_ms", "trial", "cold", "credit", "credit_ms", "closed",
         "late_until_ms", "room", "chance", "room_ms", "conns", "groups",
         "in_pending", "in_limit", "in_blind", "in_open")  # fmt: skip
@@ -83,16 +84,14 @@
         self.state = line.state
         self.started_ms = line.started_at_ms
         self.open = 0  # own connections, pending ones too
-        self.pending = 0
-        self.limit = LIMIT_START
+        self.pending, self.limit = 0, LIMIT_START
         self.fresh = True  # none of our connections has stood since it (re)started
         self.ready = False  # listed ready and not put out
         self.fails = 0
         self.out_until_ms = 0.0  # above 0: put out, a trial is due then
-        self.trial = False
-        self.cold = False
+        self.trial = self.cold = False
         self.credit = self.credit_ms = 0.0  # sends that a cold server's budget has left us, and as of when
-        self.late_until_ms = self.weigh_ms = 0.0
+        self.late_until_ms = self.weigh_ms = self.lag = 0.0  # lag: of the logs of its latest set-up times
         self.conns: dict[int, _Request] = {}  # own connections that stand
         self.room = float("inf")  # own connections it can hold, once it has shown that it cannot hold all
         self.room_ms = self.chance = 0.0
@@ -180,10 +179,9 @@
         self.buckets.setdefault("", [self.burst, 0.0])  # tenants that the settings do not name
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
-        actions: list[Action] = []
-        self.actions = actions
+        self.actions = []
         self.handlers[type(event)](now_ms, event)
-        return actions
+        return self.actions
 
     # ------------------------------------------------------------ 1 depth
 
@@ -238,9 +236,8 @@
         s.limit = max(1, min(LIMIT_TOP, limit))
         self._sum(s)
 
-    # Long-lived connections load a server long after they were accepted, which pending does not show.
-    # A server whose messages run late therefore counts as full until it is well again, and then has room
-    # for somewhat fewer connections than it held.
+    # Connections load a server long after they were accepted, which pending does not show. One whose
+    # messages run late thus counts as full until it is well, and then has room for fewer than it held.
     def _strained(self, now_ms: float, s: _Server, held: int) -> None:
         if not s.late_until_ms or now_ms >= s.late_until_ms:
             # Chance rounds it, or one connection at each of many balancers would always be let in again.
@@ -470,9 +467,12 @@
         s.fresh = False
         self._well(s)
         if e.took_ms > 0 and s.kind and not s.cold:
-            self._learn_speed(s.kind, log(e.took_ms))
+            usual = self._learn_speed(s.kind, log(e.took_ms))
+            s.lag += LAG_NEW * (log(e.took_ms) - usual - s.lag)
+            if s.lag > LAG_LATE and not self.settings.tells_delay:
+                self._strained(now_ms, s, s.open)
 
-    def _learn_speed(self, kind: str, took: float) -> None:
+    def _learn_speed(self, kind: str, took: float) -> float:
         """A list may call a fast and a slow kind of machine the same size; set-ups tell them apart."""
         both = self.set_ups[""], self.set_ups.setdefault(kind, [0.0, 0.0])
         for seen in both:
@@ -480,6 +480,7 @@
             seen[1] += 1.0
         mean = both[0][0] / both[0][1]
         self.speeds[kind] = exp(mean - (both[1][0] + KIND_DOUBT * mean) / (both[1][1] + KIND_DOUBT))
+        return mean
 
     def _on_outcome(self, now_ms: float, e: Outcome) -> None:
         r = self.requests.get(e.id)
@@ -702,8 +703,7 @@
             s.cold = False
             return True
         part = st.cold_from + (1.0 - st.cold_from) * max(0.0, now_ms - s.started_ms) / st.warm_within_ms
-        # A full server's connections, from the tenants' quotas or else from what we hold ourselves. What a
-        # cold one can take is as many as fill it over its warm-up, in part.
+        # A full server's connections, by the quotas or what we hold; a cold one fills over its warm-up.
         listed = max(1, len(self.ready) + len(self.out))
         size = self.quota / self.first_listed if self.quota else self.open * st.balancers / listed
         care = min(COLD_MOST, COLD_CARE + COLD_EVEN / st.balancers)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -324,3 +324,17 @@
     assert moved and all(isinstance(a, Move) for a in moved)
     assert relay.balancer.servers["a"].full() and not relay.balancer.servers["b"].full()
     assert [a for i in list(told.sent) for a in told.tell(Note(i, 0, told.sent[i][-1], "load", 300.0))] == []
+
+
+def test_where_no_delays_are_told_slow_set_ups_close_a_server(make: Any) -> None:
+    # A host that was slowed down told nothing: its group's clients were placed there again and again.
+    servers = [Server(name, kind="k") for name in "ab"]
+    for tells, closed in ((False, True), (True, False)):
+        relay = make(servers, tells_delay=tells)
+        for _ in range(40):
+            relay.ask()
+            relay.tell(FirstSign(relay.ids, 0, relay.sent[relay.ids][-1], 30.0))
+        slow = [i for i in range(4) if relay.ask() and relay.sent[relay.ids][-1] == "a"]
+        for i in slow:
+            relay.tell(FirstSign(relay.ids - 3 + i, 0, "a", 210.0))
+        assert slow and relay.balancer.servers["a"].full() is (closed and len(slow) > 1)
