Leave no call behind when its client goes as it stands

Found by reading, then by a test that failed: when a client left in the turn of the loop in which its call came to stand, RequestLife._call reported the client and forgot the call, whose connection stayed open at the endpoint. Wire.drop now lets go of it; a failed accept does the same.

On the XMPP front: an endpoint that begins to drain while the relay logs in gets no bind; a client's stream fault is answered after the stanza on the wire instead of into it; a client that does not read is reset, not written into.

--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -35,6 +35,10 @@
     async def put(self, message: ListMessage) -> None:
         await self._mailbox.put(message)
 
+    def ready(self, endpoint: str) -> bool:
+        """For a call that takes long to set up: whether the endpoint may still be given work."""
+        return self._states.get(endpoint) == "ready"
+
     def want_watch(self) -> None:
         """Called by the module's actor, which must never wait for this one."""
         try:
--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -26,6 +26,9 @@
     async def call(self, endpoint: str, patience_ms: float) -> Ending | None:
         """One outbound call; None when it stands. Cancelled when it is called off: it must then let go."""
 
+    async def drop(self) -> None:
+        """Let go of a call that stands after all, though nobody is left to stand at its other side."""
+
     async def accept(self) -> None:
         """Tell the client that it is served, with what the endpoint gave."""
 
@@ -145,9 +148,12 @@
                 # Never two at once: the next step waits until this call's connection is closed.
                 calling.cancel()
                 await asyncio.wait((calling,))
+        ending = Ending.CANCELLED if calling.cancelled() else calling.result()
         if self._leaving.done():
+            if ending is None:
+                await self._wire.drop()
             return self._leaving.result()
-        return Ending.CANCELLED if calling.cancelled() else calling.result()
+        return ending
 
     def hurry(self) -> None:
         """The relay is about to stop: a request not yet served is answered now."""
@@ -169,10 +175,13 @@
         self.record.stood, self.record.ending = True, None
         moving = asyncio.ensure_future(self._await_move())
         try:
-            await self._wire.accept()
-            self.record.ending = await self._wire.stand(self.stop)
-        except OSError:
-            self.record.ending = Ending.CLIENT_RESET
+            try:
+                await self._wire.accept()
+            except OSError:
+                self.record.ending = Ending.CLIENT_RESET
+                await self._wire.drop()
+            else:
+                self.record.ending = await self._wire.stand(self.stop)
         finally:
             moving.cancel()
             ending = self.record.ending or Ending.CLIENT_RESET
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -199,6 +199,10 @@
 
     # ------------------------------------------------------------ while it stands
 
+    async def drop(self) -> None:
+        if self._endpoint is not None:
+            reset(self._endpoint)
+
     async def accept(self) -> None:
         """The endpoint's UP goes out with all that followed it, as the first lines of the pump."""
 
--- a/sageturn/fronts/xmpp/dial.py
+++ b/sageturn/fronts/xmpp/dial.py
@@ -4,6 +4,7 @@
 
 import base64
 import ssl
+from collections.abc import Callable
 from xml.etree.ElementTree import Element
 from xml.sax.saxutils import escape
 
@@ -39,8 +40,10 @@
 
 
 class Dialer:
-    def __init__(self, session: Session, options: EndpointOptions, wish: Wish) -> None:
-        self._session, self._options, self._wish = session, options, wish
+    def __init__(
+        self, session: Session, options: EndpointOptions, wish: Wish, wanted: Callable[[], bool]
+    ) -> None:
+        self._session, self._options, self._wish, self._wanted = session, options, wish, wanted
 
     async def run(self) -> str:
         """Returns the JID that the endpoint bound."""
@@ -58,6 +61,8 @@
         resource = await self._authenticate(features)
         self._session.restart()
         await self._header()
+        if not self._wanted():
+            raise Refusal(Ending.BUSY)  # it began to drain while the relay logged in
         return await self._bind(resource)
 
     async def _stanza(self) -> Element:
--- a/sageturn/fronts/xmpp/front.py
+++ b/sageturn/fronts/xmpp/front.py
@@ -7,6 +7,7 @@
 import socket
 import ssl
 from contextlib import suppress
+from functools import partial
 from xml.sax.saxutils import escape, quoteattr
 
 from sageturn.core.endings import Ending
@@ -97,7 +98,8 @@
         stands = False
         try:
             async with asyncio.timeout_at(until):
-                self._jid = await Dialer(session, self._options.endpoint, self._wish).run()
+                wanted = partial(self._shared.destinations.ready, endpoint)
+                self._jid = await Dialer(session, self._options.endpoint, self._wish, wanted).run()
             stands = True
         except TimeoutError:
             return Ending.TIMEOUT
@@ -133,6 +135,10 @@
 
     # ------------------------------------------------------------ while it stands
 
+    async def drop(self) -> None:
+        if self._endpoint is not None:
+            reset(self._endpoint.channel.sock)
+
     async def accept(self) -> None:
         bound = f"<bind xmlns='{BIND}'><jid>{escape(self._jid)}</jid></bind>"
         await self._client.send(f"<iq type='result' id={quoteattr(self._wish.iq_id)}>{bound}</iq>".encode())
@@ -150,13 +156,14 @@
             if downward.done():
                 ending, last = downward.result()
             elif upward.done():
-                ending = upward.result()
+                ending, last = upward.result()
                 if ending is Ending.CLIENT_LEFT:
                     await endpoint.end()
                     await asyncio.wait((downward,), timeout=LAST_WORD_S)
             else:
-                await self._come_to_rest(downward, endpoint)
                 ending, last = Ending.MOVED if stopping.done() else Ending.MUTE, move_xml()
+                if not await self._come_to_rest(downward, endpoint):
+                    reset(self._client.channel.sock)  # a stanza is stuck half written: no word can follow
         finally:
             for task in (downward, upward, stopping, muting):
                 await end_task(task)
@@ -164,7 +171,7 @@
         await self._part(endpoint, ending, last)
         return ending
 
-    async def _come_to_rest(self, downward: asyncio.Task[tuple[Ending, bytes]], endpoint: Session) -> None:
+    async def _come_to_rest(self, downward: asyncio.Task[tuple[Ending, bytes]], endpoint: Session) -> bool:
         """Wait, for a while, until no stanza is half on its way to the client."""
         loop = asyncio.get_running_loop()
         until = loop.time() + REST_S
@@ -173,7 +180,8 @@
         # Holding the lock from here on: what the endpoint sends now comes too late for this client.
         with suppress(TimeoutError):
             async with asyncio.timeout(max(0.05, until - loop.time())):
-                await self._down_at_rest.acquire()
+                return await self._down_at_rest.acquire()
+        return False
 
     async def _part(self, endpoint: Session, ending: Ending, last: bytes) -> None:
         client_sock, endpoint_sock = self._client.channel.sock, endpoint.channel.sock
@@ -216,20 +224,19 @@
         except StreamFault:
             return Ending.GARBLED, error_xml("remote-connection-failed", "the endpoint's stream broke off")
 
-    async def _upward(self, endpoint: Session) -> Ending:
+    async def _upward(self, endpoint: Session) -> tuple[Ending, bytes]:
+        """From the client to the endpoint; with the ending, the stream error that the client is owed."""
         loop = asyncio.get_running_loop()
         waiting, self._waiting = self._waiting, []
         while True:
             try:
                 piece = waiting.pop(0) if waiting else await self._client.next()
             except OSError:
-                return Ending.CLIENT_RESET
+                return Ending.CLIENT_RESET, b""
             except StreamFault as fault:
-                with suppress(OSError):
-                    await self._client.send(error_xml(fault.condition, fault.text))
-                return Ending.CLIENT_LEFT
+                return Ending.CLIENT_LEFT, error_xml(fault.condition, fault.text)
             if piece is None or isinstance(piece, Closed):
-                return Ending.CLIENT_LEFT
+                return Ending.CLIENT_LEFT, b""
             if not isinstance(piece, Stanza):
                 continue
             # Only a request for information obliges the endpoint to say something back.
@@ -239,7 +246,7 @@
             try:
                 await endpoint.send(piece.raw)
             except OSError:
-                return Ending.RESET
+                return Ending.RESET, b""
 
     async def _note_load(self, stanza: Stanza) -> None:
         for load in stanza.element.findall(f"{{{OURS}}}load"):
--- a/sageturn/fronts/xmpp/session.py
+++ b/sageturn/fronts/xmpp/session.py
@@ -69,7 +69,7 @@
 
     async def end(self, error: bytes = b"", domain: str = "") -> None:
         """Close our side of the stream; a broken connection has nobody to tell."""
-        with suppress(OSError):
+        with suppress(OSError, ValueError):  # the socket may have been reset and closed
             if not self.opened:
                 await self.open(**{"from": domain, "id": secrets.token_hex(8)})
             await self.send(error + CLOSE)
