Hold the shipped operator's file to the configuration's keys

deploy/xmpp.json is the only example that an operator has, and nothing read it in a test. It is read now as it stands, with the files that it names.

--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -306,3 +306,21 @@
         (tmp_path / "bad.json").write_text(json.dumps({"xmpp": {**good["xmpp"], **change}}))
         with pytest.raises(ConfigError, match=key):
             read_operator(tmp_path / "bad.json")
+
+
+def test_the_operators_file_that_is_shipped_can_be_read(tmp_path: Path) -> None:
+    # It is the only example an operator has: a key renamed in config.py must be renamed there too.
+    from sageturn.config import read_operator
+
+    shipped = Path(__file__).parent.parent / "deploy" / "xmpp.json"
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "var").mkdir()
+    (tmp_path / "deploy" / "xmpp.json").write_text(shipped.read_text())
+    CERT.cert_chain_pems[0].write_to_path(tmp_path / "var" / "xmpp.pem")
+    CERT.private_key_pem.write_to_path(tmp_path / "var" / "xmpp.key")
+    CA.cert_pem.write_to_path(tmp_path / "var" / "endpoint-ca.pem")
+    for name in ("replica.secret", "endpoint.password"):
+        (tmp_path / "var" / name).write_text("word\n")
+    operator = read_operator(tmp_path / "deploy" / "xmpp.json")
+    assert operator.xmpp and operator.flows and operator.replication and operator.store_path
+    assert operator.xmpp.tls is not None and operator.xmpp.endpoint.tls is not None
