Read the configuration again on SIGHUP and move the watch at once

Nothing in relay.py or __main__.py handled the signal. In the sources also: GW_DISCOVERY would have hidden the file's new address for ever, NaN, Infinity and deep nesting in a file or list raised errors that nobody caught and would have ended an actor.

Now: signals are held back until the loop runs; the file is read and checked whole, then the watch goes to the new address and asks for a whole list; what needs a restart is logged. A faulty file leaves the old configuration in force. Ruled out: that the old watch has to end first (the new one stood within 10 ms of the signal in the logs of four reloads).

--- a/sageturn/__main__.py
+++ b/sageturn/__main__.py
@@ -5,8 +5,9 @@
 import argparse
 import gc
 import logging
-import resource
+import signal
 import sys
+from functools import partial
 
 import uvloop
 
@@ -16,6 +17,8 @@
 
 
 def main() -> int:
+    # Its usual effect is to end the process. Held back until the relay can read its configuration again.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     parser = argparse.ArgumentParser(prog="sageturn", description="A relay for long-lived connections.")
     parser.add_argument("--operator", metavar="FILE", help="an operator's file, such as deploy/xmpp.json")
     options = parser.parse_args()
@@ -26,14 +29,10 @@
         return 2
     logging.basicConfig(level=settled.log_level, format="%(asctime)s %(levelname)s %(name)s: %(message)s")
     try:
-        relay = Relay(settled)
+        relay = Relay(settled, partial(config.load, None, options.operator))
     except (OSError, Damaged) as error:
         print(f"sageturn: {error}", file=sys.stderr)
         return 2
-    # So that running out shows as an error that the listener knows how to answer.
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard == resource.RLIM_INFINITY or hard >= settled.sockets:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (settled.sockets, hard))
     gc.freeze()  # what was made at the start stays: collections need not walk it again and again
     uvloop.run(relay.run())
     return 0
--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -22,6 +22,7 @@
 
 Address = tuple[str, int]
 T = TypeVar("T")
+NUMBER_MOST = 1e9  # no count or time in a file is near it; it keeps whole numbers within the system's
 
 
 class ConfigError(Exception):
@@ -52,8 +53,8 @@
 
     def number(self, key: str, default: float | None = None, least: float = 0.0) -> float:
         value = self.get(key, (int, float), default)
-        if value < least:
-            raise ConfigError(f"{self.path(key)}: must be {least:g} or more")
+        if not least <= value <= NUMBER_MOST:  # JSON as Python reads it has NaN and Infinity too
+            raise ConfigError(f"{self.path(key)}: must be from {least:g} to {NUMBER_MOST:g}")
         return float(value)
 
     def address(self, key: str, default: str | None = None) -> Address:
@@ -91,6 +92,7 @@
     name: str
     listen: Address
     discovery: Address
+    filed_discovery: str  # as the file had it, whatever the environment said
     seed: int
     sockets: int
     settings: api.Settings
@@ -98,18 +100,38 @@
     log_level: str = "INFO"
     operator: Operator = field(default_factory=Operator)
 
+    def needs_restart(self, new: Config) -> list[str]:
+        """The keys in which ``new`` differs and that a running relay keeps as they were."""
+        ours, theirs = self.operator, new.operator
+        pairs = {
+            "name": (self.name, new.name),
+            "listen": (self.listen, new.listen),
+            "settings": (self.settings, new.settings),
+            "operator.store.path": (ours.store_path, theirs.store_path),
+            "operator.store": (ours.replication, theirs.replication),
+            "operator.flows": (ours.flows, theirs.flows),
+            "operator.xmpp.listen": (ours.xmpp and ours.xmpp.listen, theirs.xmpp and theirs.xmpp.listen),
+        }
+        return [key for key, (old, now) in pairs.items() if old != now]
+
 
 def read_json(path: str, where: str) -> Any:
     try:
         return json.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{where}: {path}: {error.strerror}") from None
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"{where}: {path}: not JSON: {error}") from None
 
 
-def load(environ: Mapping[str, str] | None = None, operator_file: str | None = None) -> Config:
-    """The environment names the file and may stand in for its first keys; the file holds the rest."""
+def load(
+    environ: Mapping[str, str] | None = None, operator_file: str | None = None, before: Config | None = None
+) -> Config:
+    """The environment names the file and may stand in for its first keys; the file holds the rest.
+
+    Read again while the relay runs, the file may name another discovery than ``before``. That then goes
+    before the environment, which nobody can change in a running process.
+    """
     env = os.environ if environ is None else environ
     if not env.get("GW_CONFIG"):
         raise ConfigError("GW_CONFIG: is missing")
@@ -120,10 +142,18 @@
         return (variable, value) if value else (top.path(key), top.get(key, str))
 
     limits = top.section("limits")
+    filed = top.get("discovery", str, "")
+    if before is None:
+        discovery = read_address(*either("GW_DISCOVERY", "discovery"))
+    elif filed == before.filed_discovery:
+        discovery = before.discovery
+    else:
+        discovery = read_address("discovery", filed)
     return Config(
         name=either("GW_NAME", "name")[1],
         listen=read_address(*either("GW_LISTEN", "listen")),
-        discovery=read_address(*either("GW_DISCOVERY", "discovery")),
+        discovery=discovery,
+        filed_discovery=filed,
         seed=_seed(top),
         sockets=int(limits.number("sockets", 1024, least=32)),
         settings=_settings(top),
@@ -255,7 +285,7 @@
         return replace(read_settings(top.get("settings", dict)), tells_delay=False)
     except KeyError as error:
         raise ConfigError(f"settings: {error.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"settings: {error}") from None
 
 
--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from sageturn import interface as api
-from sageturn.core.messages import Listed, ListMessage, WatchFailed, WatchWanted
+from sageturn.core.messages import Listed, ListMessage, SourceMoved, WatchFailed, WatchWanted
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +55,12 @@
                 case WatchWanted():
                     if self.watcher is not None:
                         self.watcher.start(self.version)
+                case SourceMoved():
+                    # Its versions need not go on from those of the old one: only a whole list is sure to
+                    # tell all. What is known stays in use until it has come.
+                    self.version = 0
+                    if self.watcher is not None:
+                        self.watcher.start(self.version)
                 case WatchFailed(why):
                     log.info("watch: %s", why)
                     await self._tell(api.ServerList("failed", []))
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -77,4 +77,9 @@
     """The module asks for changes from here on."""
 
 
-ListMessage = Listed | WatchFailed | WatchWanted
+@dataclass(frozen=True, slots=True)
+class SourceMoved:
+    """Discovery is somewhere else now: watch there, from a whole list on."""
+
+
+ListMessage = Listed | WatchFailed | WatchWanted | SourceMoved
--- a/sageturn/fronts/xmpp/front.py
+++ b/sageturn/fronts/xmpp/front.py
@@ -41,14 +41,15 @@
     turn_away = TURN_AWAY
 
     def __init__(self, shared: Shared, options: XmppOptions, accounts: Accounts) -> None:
-        self._shared, self._options, self._accounts = shared, options, accounts
+        self._shared, self._accounts = shared, accounts
+        self.options = options  # replaced when the configuration is read again: for those who come later
 
     async def serve(self, sock: socket.socket) -> None:
-        session = first_session(sock)
+        options, session = self.options, first_session(sock)
         fault = StreamFault("connection-timeout")
         try:
-            async with asyncio.timeout(self._options.negotiate_s):
-                wish = await Acceptor(session, self._options, self._accounts).run()
+            async with asyncio.timeout(options.negotiate_s):
+                wish = await Acceptor(session, options, self._accounts).run()
         except StreamFault as found:
             fault = found
         except TimeoutError:
@@ -57,11 +58,11 @@
             log.info("xmpp: %s", error)
             return
         else:
-            peer = _Peer(self._shared, self._options, session, wish)
+            peer = _Peer(self._shared, options, session, wish)
             await self._shared.run(peer.life)
             return
         log.info("xmpp: %s", fault)
-        await session.fault(fault, self._options.domain)
+        await session.fault(fault, options.domain)
         await close_politely(sock)
 
 
--- a/sageturn/net/discovery.py
+++ b/sageturn/net/discovery.py
@@ -38,6 +38,8 @@
         servers, addresses = [], {}
         for line in obj["servers"]:
             name, state = line["id"], line["state"]
+            if not isinstance(name, str):
+                raise BadList(f"id: {name!r}")
             if state not in ("ready", "draining", "gone"):
                 raise BadList(f"state: {state!r}")
             if line.get("addr"):
@@ -56,7 +58,7 @@
         return Listed(int(obj["version"]), bool(obj.get("full")), servers, addresses)
     except KeyError as error:
         raise BadList(f"missing {error}") from None
-    except (TypeError, AttributeError) as error:
+    except (TypeError, AttributeError, OverflowError) as error:
         raise BadList(str(error)) from None
 
 
@@ -95,6 +97,10 @@
         if old is not None:
             old.cancel()  # a watch asked for again takes the place of the one before
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Where to watch from now on; the watch that is open stays until the next ``start``."""
+        self._address = address
+
     async def stop(self) -> None:
         await end_task(self._task)
 
@@ -107,7 +113,7 @@
             await self._follow(sock, after_version)
         except TimeoutError:
             await self._report(WatchFailed("silent"))
-        except (OSError, ValueError, httptools.HttpParserError) as error:
+        except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
             await self._report(WatchFailed(f"{type(error).__name__}: {error}"))
         finally:
             sock.close()
--- a/sageturn/net/sockets.py
+++ b/sageturn/net/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import resource
 import socket
 import struct
 from collections.abc import Sequence
@@ -32,6 +33,13 @@
 }
 
 
+def bound_descriptors(most: int) -> None:
+    """So that running out shows as an error that the listener knows how to answer."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if hard == resource.RLIM_INFINITY or hard >= most:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+
+
 def prepare(sock: socket.socket) -> socket.socket:
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -6,11 +6,13 @@
 import logging
 import signal
 from collections import Counter
+from collections.abc import Callable
 
-from sageturn.config import Config
+from sageturn.config import Config, ConfigError
 from sageturn.core.clock import Clock
 from sageturn.core.destinations import DestinationSet
 from sageturn.core.drain import Lives
+from sageturn.core.messages import SourceMoved
 from sageturn.core.module import ModuleActor
 from sageturn.core.requests import Record
 from sageturn.core.shared import Shared
@@ -21,6 +23,7 @@
 from sageturn.fronts.xmpp.front import XmppFront
 from sageturn.net.discovery import DiscoveryClient
 from sageturn.net.listener import Listener
+from sageturn.net.sockets import bound_descriptors
 from sageturn.store.records import Record as Stored
 from sageturn.store.replica import Replica
 from sageturn.store.store import Store
@@ -32,7 +35,10 @@
 
 
 class Relay:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, read_again: Callable[[Config], Config] | None = None) -> None:
+        """``read_again`` reads the configuration anew, given the one in force."""
+        self._config, self._read_again = config, read_again
+        self._reload = asyncio.Event()
         self.module = ModuleActor(config.settings, config.seed, Clock(), self._want_watch)
         self.destinations = DestinationSet(config.known, self.module.tell)
         self.discovery = DiscoveryClient(config.discovery, self.destinations.put)
@@ -48,10 +54,10 @@
         self.replica = Replica(self.store, operator.replication) if operator.replication else None
         self.exporter = Exporter(operator.flows) if operator.flows else None
         self.xmpp: Listener | None = None
+        self._second: XmppFront | None = None
         if operator.xmpp is not None:
-            accounts = Accounts(self.store)
-            second = XmppFront(self.shared, operator.xmpp, accounts)
-            self.xmpp = Listener(operator.xmpp.listen, second.serve, second.turn_away)
+            self._second = XmppFront(self.shared, operator.xmpp, Accounts(self.store))
+            self.xmpp = Listener(operator.xmpp.listen, self._second.serve, self._second.turn_away)
         self._counts: Counter[str] = Counter()
         self._set_log_level()
 
@@ -94,8 +100,38 @@
             f", {record.answer}" if record.answer else "",
         )
 
+    async def _reloads(self) -> None:
+        """Signals that come while one is dealt with are dealt with together by the next reading."""
+        while True:
+            await self._reload.wait()
+            self._reload.clear()
+            if self._read_again is None:
+                continue
+            try:
+                new = self._read_again(self._config)
+            except ConfigError as error:
+                log.error("configuration not taken, the old one stays in force: %s", error)
+                continue
+            except Exception:
+                # A fault that no check foresaw must not end the relay either.
+                log.exception("configuration not taken, the old one stays in force")
+                continue
+            await self._switch(new)
+
+    async def _switch(self, new: Config) -> None:
+        """Nothing here can fail half way: all of it was checked when it was read."""
+        old, self._config = self._config, new
+        bound_descriptors(new.sockets)
+        if self._second is not None and new.operator.xmpp is not None:
+            self._second.options = new.operator.xmpp
+        if new.discovery != old.discovery:
+            self.discovery.move(new.discovery)
+            await self.destinations.put(SourceMoved())
+        kept = old.needs_restart(new)
+        log.info("configuration taken%s", f"; kept until a restart: {', '.join(kept)}" if kept else "")
+
     def start(self) -> None:
-        runs = [self.module.run, self.destinations.run, self.listener.run, self._tell_state]
+        runs = [self.module.run, self.destinations.run, self.listener.run, self._tell_state, self._reloads]
         if self.xmpp is not None:
             runs.append(self.xmpp.run)
         if self.exporter is not None:
@@ -120,6 +156,9 @@
         stopping = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one held back since the start comes now
+        bound_descriptors(self._config.sockets)
         self.start()
         waiting: asyncio.Future[object] = asyncio.ensure_future(stopping.wait())
         watched: list[asyncio.Future[object]] = [waiting, *self._actors]  # type: ignore[list-item]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -26,7 +26,7 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, **more: Any
+    folder: Path, environ: tuple[str, str] | None = None, log: Any = asyncio.subprocess.DEVNULL, **more: Any
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, Address]]:
     async with AsyncExitStack() as stack:
         endpoint = Endpoint(up)
@@ -36,10 +36,10 @@
         address = ("127.0.0.1", free_port())
         known = listed({"a": endpoint.address})
         file = write_config(folder, discovery.address, known, listen=f"{address[0]}:{address[1]}", **more)
+        also = {environ[0]: json.loads(file.read_text())[environ[1]]} if environ else {}
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageturn", env={**os.environ, "GW_CONFIG": str(file)},
-            stderr=asyncio.subprocess.DEVNULL,
-        )  # fmt: skip
+            sys.executable, "-m", "sageturn", env={**os.environ, "GW_CONFIG": str(file), **also}, stderr=log
+        )
         try:
             async with asyncio.timeout(10):
                 while True:
@@ -111,3 +111,42 @@
         code, said = start(tmp_path, change)
         assert code == 2 and said.startswith(f"sageturn: {key}") and said.count("\n") == 1
     assert json.loads((tmp_path / "config.json").read_text())["seed"] == 1
+
+
+def test_sighup_moves_the_watch_and_a_faulty_file_changes_nothing(tmp_path: Path) -> None:
+    # SIGHUP used to end the program (exit 129) and every connection with it. The environment names the old
+    # discovery, as the platform's does: it must not hide what the file says since.
+    async def go() -> None:
+        async with AsyncExitStack() as stack:
+            moved = Discovery(chunked(listed({"a": ("127.0.0.1", 9)}, 3)))
+            await stack.enter_async_context(served(moved))
+            log = stack.enter_context((tmp_path / "log").open("w+"))
+            process, address = await stack.enter_async_context(
+                program(tmp_path, environ=("GW_DISCOVERY", "discovery"), log=log)
+            )
+            file = tmp_path / "config.json"
+            good = json.loads(file.read_text())
+            reader, writer = await ask(address, first_line())
+            assert await reader.readline() == b"UP r1\r\n"
+
+            file.write_text(json.dumps({**good, "discovery": "%s:%d" % moved.address, "limits": {"sockets": -1}}))
+            process.send_signal(signal.SIGHUP)
+            while "limits.sockets" not in (tmp_path / "log").read_text():
+                await asyncio.sleep(0.01)
+            assert moved.asked == []  # checked whole before anything is switched
+
+            file.write_text(json.dumps({**good, "discovery": "%s:%d" % moved.address}))
+            for _ in range(5):
+                process.send_signal(signal.SIGHUP)
+            while not moved.asked:
+                await asyncio.sleep(0.01)
+            writer.write(b"M 1\r\n")
+            assert await reader.readline() == b"M 1\r\n" and process.returncode is None
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGHUP)
+            assert await reader.read() == b"MOVE\r\n" and await process.wait() == 0
+            writer.close()
+            said = (tmp_path / "log").read_text()
+            assert said.count(" ERROR ") == 1 and said.count("limits.sockets") == 1
+
+    asyncio.run(asyncio.wait_for(go(), 30))
