Take set-up lag against what is usual now; refill hosts that shed slowly; fail fast when spent

A slow store raised set-ups at all hosts, and the old test against the mean of the whole run then spoke against all of them. With three of five hosts left after preemptions, all 120 clients were kept and by the end nobody's messages were in time.

Now: lag is the host's set-ups against the usual ones of that moment, it fades, and makes a host heavier in proportion; two resets within 2 s leave room for what is left, regained at 0.3 connections a second until its process restarts; sizes count the kind's speed; where all hosts are beyond what they carry by estimate, requests fail fast with a time to return.

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -57,9 +57,12 @@
 SPARE_MOST = 15  # idle connections remembered a server
 SOFT_HEAVIER = 2.0  # a server that such signs speak against counts as so much heavier: signs, not proof
 WEIGH_MS = 1000.0  # where no delays are told, a server's loads are weighed this often
+SHED_LEAST, SHED_MS, SHED_GROW = 2, 2000.0, 0.3  # resets within so long of each other; room regained a second
+SPENT_AT = 0.8  # part of what its size carries by estimate: it takes nothing more
 FULL_AT, FULL_OVER = 0.6, 1.15  # part of what its size carries, and times the mean: it counts as late
 MOVE_AT, MOVE_OVER = 0.7, 1.3  # and from here on it is relieved
-LAG_NEW, LAG_LATE = 0.5, 1.1  # weight of the latest set-up; three times the usual shows a slow server
+LAG_NEW, LAG_FREE, LAG_LATE = 0.5, 0.4, 0.8  # weight of the latest set-up; a lag that counts; a slow server's
+LAG_FADE_MS, USUAL_NEW = 9000.0, 0.1  # a lag fades in so long; weight of a set-up in what is usual for all
 COLD_CARE = 0.8  # of the multiple of what fills a cold server over its warm-up, many balancers use this,
 COLD_EVEN = 4.8  # and few use more, by this over their number: theirs are evenly spaced, not piled by chance,
 COLD_MOST = 2.0  # up to this: servers were seen to take three to four times what so fills them
@@ -72,9 +75,10 @@
 
     __slots__ = (
         "name", "zone", "cell", "kind", "share", "spare", "pooled", "hash", "state", "started_ms",
-        "open", "pending", "limit", "fresh", "weigh_ms", "lag", "part",
+        "open", "pending", "limit", "fresh", "weigh_ms", "took", "part", "size",
         "work", "heard", "ready", "fails", "out_until_ms", "trial", "cold", "credit", "credit_ms", "closed",
-        "late_until_ms", "soft_until_ms", "room", "chance", "room_ms", "conns", "groups",
+        "late_until_ms", "soft_until_ms", "spent_until_ms", "took_ms", "sheds", "shed_ms",
+        "room", "chance", "room_ms", "conns", "groups",
         "in_pending", "in_limit", "in_blind", "in_open")  # fmt: skip
 
     def __init__(self, line: Server) -> None:
@@ -94,9 +98,12 @@
         self.out_until_ms = 0.0  # above 0: put out, a trial is due then
         self.trial = self.cold = False
         self.credit = self.credit_ms = 0.0  # sends that a cold server's budget has left us, and as of when
+        self.sheds, self.shed_ms = 0, 0.0  # resets in a row of connections that stood
+        self.spent_until_ms = 0.0  # until then what it holds is more than it can do
         self.soft_until_ms = 0.0  # until then it seems fuller or slower than the others
-        self.late_until_ms = self.weigh_ms = self.lag = 0.0  # lag: of the logs of its latest set-up times
-        self.part = 0.0  # of our connections, by its size and zone
+        self.late_until_ms = self.weigh_ms = 0.0
+        self.took = self.took_ms = 0.0  # mean of the logs of its latest set-up times, and as of when
+        self.part, self.size = 0.0, 1.0  # of our connections, by its size and zone; its size by its kind too
         self.conns: dict[int, _Request] = {}  # own connections that stand
         self.work, self.heard = 0.0, 0  # of these, the sum of the loads told, and of how many
         self.room = float("inf")  # own connections it can hold, once it has shown that it cannot hold all
@@ -136,6 +143,7 @@
         self.rng = Random(seed)
         # By kind of machine, and under "" for all: sum of the logs of set-up times, and their count.
         self.set_ups: dict[str, list[float]] = {"": [0.0, 0.0]}
+        self.usual = 0.0  # the log of set-up times lately
         self.size = 1.0  # of all ready servers
         self.told = [0.0, 0.0]  # sum and count of the loads told
         self.speeds: dict[str, float] = {}  # by kind, against the mean
@@ -261,6 +269,8 @@
             # While servers are scarce, waiting clients fill at once what all balancers open up together.
             least = ROOM_FAST if self._depth() < FREE_DEPTH else ROOM_LEAST
             pace = max(min(1.0, least / self.sharers), ROOM_GROW * s.room)
+            if s.sheds >= SHED_LEAST and not self.settings.tells_delay:
+                pace = SHED_GROW  # nothing tells when it is well again but that it keeps what it gets
             s.room += pace * max(0.0, now_ms - s.room_ms) / 1000.0
             s.room_ms = now_ms
         s.closed = late or s.open >= s.room - s.chance
@@ -271,8 +281,9 @@
         self._sum(s)
 
     def _review_closed(self, now_ms: float) -> None:
-        if self.closed and now_ms >= self.review_ms:
+        if now_ms >= self.review_ms:
             self.review_ms = now_ms + REVIEW_MS
+            self._share_out()
             for s in list(self.closed.values()):
                 self._review(now_ms, s)
 
@@ -319,11 +330,14 @@
             opened = max(opened, (self.sum_open - s.in_open) / (len(self.ready) - 1))
         if self.now_ms < s.soft_until_ms:
             opened = (opened + 1.0) * SOFT_HEAVIER
-        return (opened + 1.0) / (s.share * self.speeds.get(s.kind, 1.0))
+        if self._lag(s) > LAG_FREE:
+            opened = (opened + 1.0) * exp(self._lag(s))
+        return (opened + 1.0) / s.size
 
     def _crowded(self, s: _Server) -> bool:
         """Groups and zones draw connections to a server only up to a bound over its part of all of ours."""
-        return self.now_ms < s.soft_until_ms or s.open > CROWD_OVER * s.part * self.open + CROWD_LEAST
+        signs = self.now_ms < s.soft_until_ms or self._lag(s) > LAG_LATE
+        return signs or s.open > CROWD_OVER * s.part * self.open + CROWD_LEAST
 
     def _pick(self, now_ms: float, r: _Request) -> _Server | None:
         """The lighter of two random ready servers, from the narrowest pool that has room."""
@@ -360,6 +374,10 @@
         if s is None:
             # Few may take it (a keyed group, none that is cold or just failed), and chance met none.
             s = next((s for s in self.ready if s is not r.server and self._may_send(now_ms, r, s)), None)
+        if s is not None and now_ms < s.spent_until_ms:
+            # Chance met two that are spent; with no other left the request fails fast.
+            rest = [t for t in self.ready if now_ms >= t.spent_until_ms and t is not r.server]
+            s = min((t for t in rest if self._may_send(now_ms, r, t)), key=self._load, default=None)
         return s
 
     def _with_spare(self, now_ms: float, r: _Request) -> _Server | None:
@@ -391,7 +409,7 @@
 
             def place(s: _Server) -> float:
                 u = (((s.hash ^ mark) * 0x9E3779B1 & 0xFFFFFFFF) + 1) / 0x100000001
-                return -log(u) / (s.share * self.speeds.get(s.kind, 1.0))
+                return -log(u) / s.size
 
             near = self.near or self.ready
             ranked = sorted(near, key=place)
@@ -485,12 +503,19 @@
         s.fresh = False
         self._well(s)
         if e.took_ms > 0 and s.kind and not s.cold:
-            usual = self._learn_speed(s.kind, log(e.took_ms))
-            s.lag += LAG_NEW * (log(e.took_ms) - usual - s.lag)
-            if s.lag > LAG_LATE and not self.settings.tells_delay:
-                s.soft_until_ms = now_ms + LATE_HOLD_MS
-
-    def _learn_speed(self, kind: str, took: float) -> float:
+            took = log(e.took_ms)
+            self._learn_speed(s.kind, took)
+            # Against what was usual just now: a slow store slows down the set-ups at all servers alike.
+            self.usual += USUAL_NEW * (took - self.usual) if self.usual else took
+            if not self.settings.tells_delay:
+                s.took = took + (1.0 - LAG_NEW) * (self.usual + self._lag(s) - took)
+                s.took_ms = now_ms
+
+    def _lag(self, s: _Server) -> float:
+        """Of the logs of its latest set-up times; it fades, or a slow server would never be tried again."""
+        return (s.took - self.usual) * exp((s.took_ms - self.now_ms) / LAG_FADE_MS) if s.took else 0.0
+
+    def _learn_speed(self, kind: str, took: float) -> None:
         """A list may call a fast and a slow kind of machine the same size; set-ups tell them apart."""
         both = self.set_ups[""], self.set_ups.setdefault(kind, [0.0, 0.0])
         for seen in both:
@@ -498,7 +523,6 @@
             seen[1] += 1.0
         mean = both[0][0] / both[0][1]
         self.speeds[kind] = exp(mean - (both[1][0] + KIND_DOUBT * mean) / (both[1][1] + KIND_DOUBT))
-        return mean
 
     def _on_outcome(self, now_ms: float, e: Outcome) -> None:
         r = self.requests.get(e.id)
@@ -527,8 +551,11 @@
         elif status == "reset":
             # A server with too much piled up breaks connections, mostly new ones. A balancer that holds
             # none there for long gets no note: this is all it sees.
-            self._strained(now_ms, s, s.open + 1)
-            s.room = min(s.room, max(1.0, s.open * ROOM_CUT))
+            s.sheds = s.sheds + 1 if now_ms < s.shed_ms + SHED_MS else 1
+            s.shed_ms = now_ms
+            if s.sheds >= SHED_LEAST or self.settings.tells_delay:
+                self._strained(now_ms, s, s.open + 1)
+                s.room = min(s.room, max(1.0, s.open * ROOM_CUT))
         if e.final or r.done:
             del self.requests[r.id]
             return
@@ -586,20 +613,15 @@
         if s.conns.pop(r.id, None) is not None and r.told:
             s.work, s.heard = s.work - r.told, s.heard - 1
 
-    def _mean(self) -> float:
-        return self.told[0] / self.told[1] if self.told[1] else 0.0
-
-    def _held(self, s: _Server) -> float:
-        """Own connections there, in connections of the mean load: told ones by what they tell."""
-        mean = self._mean()
-        return s.open - s.heard + s.work / mean if mean and s.heard else s.open
-
     def _weigh(self, now_ms: float, s: _Server) -> None:
         """Where no delays are told, loads stand in: one fuller than the others is late. All cannot be."""
         if now_ms < s.weigh_ms or not s.ready:
             return
         s.weigh_ms, fill = now_ms + WEIGH_MS, self._fill(s)
         over = fill * len(self.ready) / (sum(self._fill(t) for t in self.ready) or 1.0)
+        if fill > SPENT_AT:
+            # Past this the messages of all its clients are late: it is better to serve fewer of them.
+            s.spent_until_ms = now_ms + LATE_HOLD_MS
         if fill > FULL_AT and over > FULL_OVER:
             s.soft_until_ms = now_ms + LATE_HOLD_MS
             if fill > MOVE_AT and over > MOVE_OVER and self.settings.price_move <= MOVE_DEAR:
@@ -609,9 +631,9 @@
         """Part of its size that loads take: ours, and at each other balancer a number between ours and what
         the server's size calls for, all of the mean load: a few heavy ones of ours tell nothing of theirs.
         """
-        others = (self.settings.balancers - 1) * (s.open + s.share / self.size * self.open) / 2.0
-        held = self._held(s) + others + GROUP_COST * len(s.groups)
-        return self._mean() * held / (1000.0 * s.share * self.speeds.get(s.kind, 1.0))
+        others = (self.settings.balancers - 1) * (s.open + s.size / self.size * self.open) / 2.0
+        untold = s.open - s.heard + others + GROUP_COST * len(s.groups)
+        return (s.work + untold * self.told[0] / max(1.0, self.told[1])) / (1000.0 * s.size)
 
     def _relieve(self, s: _Server) -> None:
         """Messages stay late here: ask a few clients to come again."""
@@ -699,6 +721,7 @@
                 # Same name, new process: what was learned of the old one no longer counts.
                 known.started_ms, known.fresh, known.fails = line.started_at_ms, True, 0
                 known.out_until_ms, known.trial = 0.0, False
+                known.room, known.late_until_ms, known.took, known.sheds = float("inf"), 0.0, 0.0, 0
             warm_ms = line.started_at_ms + self.settings.warm_within_ms
             if line.started_at_ms and now_ms < warm_ms and not known.cold:
                 # A random start: else the first sends of many balancers would come all at once.
@@ -724,16 +747,22 @@
             self._sum(s)
         if self.settings.price_cross_zone:
             self.near = [s for s in self.ready if s.zone == self.settings.zone]
-        # Of our connections, the part that is a server's by its size. Our zone's servers are due more: what
-        # the zone's balancers, evenly spread, bring of all traffic; where there are fewer than zones, one.
-        size = self.size = sum(s.share for s in self.ready) or 1.0
-        here = sum(s.share for s in self.near)
+        self._share_out()
+
+    def _share_out(self) -> None:
+        """Of our connections, the part that is a server's by its size. Our zone's servers are due more: what
+        the zone's balancers, evenly spread, bring of all traffic; where there are fewer than zones, one.
+        """
+        for s in self.ready:
+            s.size = s.share * self.speeds.get(s.kind, 1.0)
+        self.size = sum(s.size for s in self.ready) or 1.0
+        here = sum(s.size for s in self.near)
         zones = len({s.zone for s in self.ready}) or 1
         ours = min(1.0, max(1.0, self.settings.balancers / zones) / self.settings.balancers)
         for s in self.ready:
-            s.part = s.share / size
+            s.part = s.size / self.size
             if here and s.zone == self.settings.zone:
-                s.part = s.share / here * min(1.0, here / size / ours)
+                s.part = s.size / here * min(1.0, here / self.size / ours)
 
     def _on_timer(self, now_ms: float, e: Timer) -> None:
         if e.mark == "watch" and not self.watching:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -339,6 +339,7 @@
         (send,) = relay.ask("tu"[relay.ids % 2])
         took = 10.0 if send.server.startswith("quick") else 40.0
         relay.tell(FirstSign(relay.ids, 0, send.server, took))
+        relay.now += 10.0  # sizes are looked at again every 50 ms
     quick = sum(relay.sent[i][0].startswith("quick") for i in relay.sent)
     assert quick > 75
 
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -384,4 +384,36 @@
         slow = [i for i in range(4) if relay.ask() and relay.sent[relay.ids][-1] == "a"]
         for i in slow:
             relay.tell(FirstSign(relay.ids - 3 + i, 0, "a", 210.0))
-        assert slow and (relay.balancer.servers["a"].soft_until_ms > 0) is (closed and len(slow) > 1)
+        a, b = (relay.balancer.servers[name] for name in "ab")
+        assert slow and relay.balancer._crowded(a) is closed and not relay.balancer._crowded(b)
+        assert not a.full()  # it fades: a server that was slow is tried again
+        relay.balancer.now_ms += 20_000.0
+        assert not relay.balancer._crowded(a)
+
+
+def test_a_store_that_slows_all_set_ups_speaks_against_no_server(make: Any) -> None:
+    # All hosts were closed at once for set-ups that took three times the usual everywhere.
+    relay = make([Server(name, kind="k") for name in "ab"], tells_delay=False)
+    for took in (30.0,) * 40 + (200.0,) * 40:
+        relay.ask()
+        relay.tell(FirstSign(relay.ids, 0, relay.sent[relay.ids][-1], took))
+        relay.now += 20.0
+    assert not any(relay.balancer._lag(s) > 0.4 for s in relay.balancer.ready)
+
+
+def test_with_every_server_beyond_what_it_carries_a_request_fails_fast(make: Any) -> None:
+    # With three hosts of five left, all clients were taken in, and nobody's messages came in time.
+    relay = make([Server("a"), Server("b")], tells_delay=False)
+    for _ in range(8):
+        relay.ask()
+        relay.stands(relay.ids)
+    for i, sent in relay.sent.items():
+        relay.now += 1100.0
+        relay.tell(Note(i, 0, sent[-1], "load", 400.0))
+    for s in relay.balancer.ready:
+        relay.balancer._weigh(relay.now + 1100.0, s)
+    relay.now += 1101.0
+    (refusal,) = relay.ask()
+    assert isinstance(refusal, Refuse) and refusal.retry_after_ms > 0
+    relay.now += 3000.0  # it is no verdict for good
+    assert isinstance(relay.ask()[0], Send)
