Count a new host at the part it can do, and bound a zone's part for one relay down

Ruled out: failed set-ups (none), resets (none), refusals (98, all while every host was spent).

At fault in rules.py: the size by which connections are placed and hosts judged did not know of warming up; the zone's part reckoned with all relays sharing the traffic, while the other one was restarting.

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -74,11 +74,10 @@
     """What this balancer knows of one server."""
 
     __slots__ = (
-        "name", "zone", "cell", "kind", "share", "spare", "pooled", "hash", "state", "started_ms",
-        "open", "pending", "limit", "fresh", "weigh_ms", "took", "part", "size",
-        "work", "heard", "ready", "fails", "out_until_ms", "trial", "cold", "credit", "credit_ms", "closed",
-        "late_until_ms", "soft_until_ms", "spent_until_ms", "took_ms", "sheds", "shed_ms",
-        "room", "chance", "room_ms", "conns", "groups",
+        "name", "zone", "cell", "kind", "share", "spare", "pooled", "hash", "state", "started_ms", "open",
+        "pending", "limit", "fresh", "weigh_ms", "took", "part", "size", "work", "heard", "ready", "fails",
+        "out_until_ms", "trial", "cold", "credit", "credit_ms", "closed", "late_until_ms", "soft_until_ms",
+        "spent_until_ms", "took_ms", "sheds", "shed_ms", "room", "chance", "room_ms", "conns", "groups",
         "in_pending", "in_limit", "in_blind", "in_open")  # fmt: skip
 
     def __init__(self, line: Server) -> None:
@@ -99,13 +98,12 @@
         self.trial = self.cold = False
         self.credit = self.credit_ms = 0.0  # sends that a cold server's budget has left us, and as of when
         self.sheds, self.shed_ms = 0, 0.0  # resets in a row of connections that stood
-        self.spent_until_ms = 0.0  # until then what it holds is more than it can do
-        self.soft_until_ms = 0.0  # until then it seems fuller or slower than the others
+        self.spent_until_ms = self.soft_until_ms = 0.0  # till then beyond what it can do; fuller than others
         self.late_until_ms = self.weigh_ms = 0.0
         self.took = self.took_ms = 0.0  # mean of the logs of its latest set-up times, and as of when
         self.part, self.size = 0.0, 1.0  # of our connections, by its size and zone; its size by its kind too
         self.conns: dict[int, _Request] = {}  # own connections that stand
-        self.work, self.heard = 0.0, 0  # of these, the sum of the loads told, and of how many
+        self.work, self.heard = 0.0, 0  # sum of the loads told of these, and of how many
         self.room = float("inf")  # own connections it can hold, once it has shown that it cannot hold all
         self.room_ms = self.chance = 0.0
         self.groups: dict[str, int] = {}  # own connections by group
@@ -143,8 +141,7 @@
         self.rng = Random(seed)
         # By kind of machine, and under "" for all: sum of the logs of set-up times, and their count.
         self.set_ups: dict[str, list[float]] = {"": [0.0, 0.0]}
-        self.usual = 0.0  # the log of set-up times lately
-        self.size = 1.0  # of all ready servers
+        self.size, self.usual = 1.0, 0.0  # of all ready servers; the log of set-up times lately
         self.told = [0.0, 0.0]  # sum and count of the loads told
         self.speeds: dict[str, float] = {}  # by kind, against the mean
         self.sized = settings.weights in ("nominal", "rough")
@@ -268,9 +265,9 @@
         if s.room != float("inf") and not late:
             # While servers are scarce, waiting clients fill at once what all balancers open up together.
             least = ROOM_FAST if self._depth() < FREE_DEPTH else ROOM_LEAST
-            pace = max(min(1.0, least / self.sharers), ROOM_GROW * s.room)
-            if s.sheds >= SHED_LEAST and not self.settings.tells_delay:
-                pace = SHED_GROW  # nothing tells when it is well again but that it keeps what it gets
+            # Where no delays are told, nothing tells that it is well again but that it keeps what it gets.
+            slowly = s.sheds >= SHED_LEAST and not self.settings.tells_delay
+            pace = SHED_GROW if slowly else max(min(1.0, least / self.sharers), ROOM_GROW * s.room)
             s.room += pace * max(0.0, now_ms - s.room_ms) / 1000.0
             s.room_ms = now_ms
         s.closed = late or s.open >= s.room - s.chance
@@ -597,8 +594,7 @@
             r = s.conns.get(e.id)
             if r is not None and not self.settings.tells_delay:
                 s.work, s.heard = s.work + e.value - r.told, s.heard + (not r.told)
-                r.load = r.told = e.value
-                self.told = [self.told[0] + e.value, self.told[1] + 1.0]
+                r.load, r.told, self.told = e.value, e.value, [self.told[0] + e.value, self.told[1] + 1.0]
                 self._weigh(now_ms, s)
             return
         if e.value > self.late_ms:
@@ -750,19 +746,17 @@
         self._share_out()
 
     def _share_out(self) -> None:
-        """Of our connections, the part that is a server's by its size. Our zone's servers are due more: what
-        the zone's balancers, evenly spread, bring of all traffic; where there are fewer than zones, one.
-        """
+        """Servers' parts of ours, by size; near ones are due what their zone's balancers bring, one down."""
         for s in self.ready:
-            s.size = s.share * self.speeds.get(s.kind, 1.0)
+            s.size = s.share * self.speeds.get(s.kind, 1.0) * self._warm(self.now_ms, s)
         self.size = sum(s.size for s in self.ready) or 1.0
         here = sum(s.size for s in self.near)
         zones = len({s.zone for s in self.ready}) or 1
-        ours = min(1.0, max(1.0, self.settings.balancers / zones) / self.settings.balancers)
+        ours = min(1.0, max(1.0, self.settings.balancers / zones) / max(1, self.settings.balancers - 1))
         for s in self.ready:
             s.part = s.size / self.size
-            if here and s.zone == self.settings.zone:
-                s.part = s.size / here * min(1.0, here / self.size / ours)
+        for s in self.near:
+            s.part = s.size / max(here, self.size * ours)
 
     def _on_timer(self, now_ms: float, e: Timer) -> None:
         if e.mark == "watch" and not self.watching:
@@ -770,18 +764,25 @@
 
     # ------------------------------------------------------------ 7 cold starts
 
+    def _warm(self, now_ms: float, s: _Server) -> float:
+        """Part of its size that a server can do: one that has just started gets there evenly."""
+        if not s.started_ms or now_ms >= s.started_ms + self.settings.warm_within_ms:
+            return 1.0
+        age = max(0.0, now_ms - s.started_ms) / self.settings.warm_within_ms
+        return self.settings.cold_from + (1.0 - self.settings.cold_from) * age
+
     def _cold_ok(self, now_ms: float, s: _Server) -> bool:
         """Credits for sends come at a pace at which all balancers stay inside a cold server's budget."""
         st = self.settings
         if now_ms >= s.started_ms + st.warm_within_ms:
             s.cold = False
             return True
-        part = st.cold_from + (1.0 - st.cold_from) * max(0.0, now_ms - s.started_ms) / st.warm_within_ms
         # A full server's connections, by the quotas or what we hold; a cold one fills over its warm-up.
         listed = max(1, len(self.ready) + len(self.out))
         size = self.quota / self.first_listed if self.quota else self.open * st.balancers / listed
         care = min(COLD_MOST, COLD_CARE + COLD_EVEN / st.balancers)
-        pace = care * st.fall_multiple * part * max(1.0, size) / st.warm_within_ms / st.balancers
+        pace = care * st.fall_multiple * self._warm(now_ms, s) * max(1.0, size)
+        pace /= st.warm_within_ms * st.balancers
         s.credit = min(1.0, s.credit + pace * (now_ms - s.credit_ms))
         s.credit_ms = now_ms
         return s.credit >= 1.0
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -417,3 +417,18 @@
     assert isinstance(refusal, Refuse) and refusal.retry_after_ms > 0
     relay.now += 3000.0  # it is no verdict for good
     assert isinstance(relay.ask()[0], Send)
+
+
+def test_a_server_that_has_just_started_counts_at_the_part_it_can_do(make: Any) -> None:
+    # Hosts 3 s old held as many connections as warm ones of their size, and served none of them in time.
+    servers = [Server(name) for name in "abc"] + [Server("new", started_at_ms=99_000.0)]
+    relay = make(servers[:3], warm_within_ms=24_000.0, cold_from=0.12)
+    relay.now = 100_000.0
+    relay.listed(servers)
+    for _ in range(40):
+        relay.ask()
+        if relay.ids in relay.sent:
+            relay.stands(relay.ids)
+        relay.now += 100.0
+    new = relay.balancer.servers["new"]
+    assert 0.2 < new.size < 0.35 and new.part < 0.12
