--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -16,6 +16,7 @@
 
 from sageturn.config import load
 from sageturn.fronts.xmpp.accounts import PREFIX, make_record
+from sageturn.net.admission import Limits
 from sageturn.relay import Relay
 from sageturn.store.store import Store
 
@@ -324,3 +325,21 @@
     operator = read_operator(tmp_path / "deploy" / "xmpp.json")
     assert operator.xmpp and operator.flows and operator.replication and operator.store_path
     assert operator.xmpp.tls is not None and operator.xmpp.endpoint.tls is not None
+
+
+def test_silent_and_half_spoken_clients_are_cut_off_soon_and_make_room(tmp_path: Path) -> None:
+    # What bad clients do to the platform's front they can do here: the bounds are the listener's, for both.
+    async def go() -> None:
+        async with relaying(tmp_path, echo) as (relay, _):
+            relay.admission.limits = Limits(sockets=96, memory_mb=192.0)
+            began = asyncio.get_running_loop().time()
+            half = await Client.connect(relay.xmpp.address)
+            half.say("<?xml version='1.0'?><stream:str")
+            assert "<connection-timeout " in await half.rest()
+            assert asyncio.get_running_loop().time() - began < 2.9
+            crowd = [await Client.connect(relay.xmpp.address) for _ in range(30)]
+            assert "<resource-constraint " in await crowd[0].rest()
+            for each in crowd:
+                each.writer.close()
+
+    story(go())
