--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo
 
 VENV := .venv-dev
 BIN := $(VENV)/bin
@@ -13,6 +13,9 @@
 test: build
 	$(BIN)/python -m pytest
 
+demo: build
+	$(BIN)/python -m sageturn.lab.demo
+
 lint: build
 	$(BIN)/ruff check sageturn tests
 	$(BIN)/mypy
--- /dev/null
+++ b/sageturn/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The ``sageturn`` command. Nothing that a relay runs imports it."""
--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -23,6 +23,7 @@
 from sageturn.store.replica import ReplicaOptions
 
 if TYPE_CHECKING:  # off on the platform, and then not even read in
+    from sageturn.overrides.options import OverrideOptions
     from sageturn.rebalance.options import RebalanceOptions
 
 Address = tuple[str, int]
@@ -91,6 +92,7 @@
     xmpp: XmppOptions | None = None
     flows: FlowOptions | None = None
     rebalance: RebalanceOptions | None = None
+    overrides: OverrideOptions | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +118,7 @@
             "operator.store.path": (ours.store_path, theirs.store_path),
             "operator.store": (ours.replication, theirs.replication),
             "operator.flows": (ours.flows, theirs.flows),
+            "operator.overrides": (ours.overrides is None, theirs.overrides is None),
             "operator.xmpp.listen": (ours.xmpp and ours.xmpp.listen, theirs.xmpp and theirs.xmpp.listen),
         }
         return [key for key, (old, now) in pairs.items() if old != now]
@@ -180,7 +183,7 @@
 def read_operator(file: Path, settings: api.Settings) -> Operator:
     """Paths in it are taken from where the file lies; its classes and tenants are those of the settings."""
     top = Section(read_json(str(file), "operator"), "operator")
-    top.only("store", "xmpp", "flows", "rebalance")
+    top.only("store", "xmpp", "flows", "rebalance", "overrides")
     store = top.section("store")
     store.only("path", "listen", "peers", "secret_file", "interval_s")
     return Operator(
@@ -189,6 +192,7 @@
         xmpp=_xmpp(top.section("xmpp"), file.parent) if top.has("xmpp") else None,
         flows=_flows(top.section("flows")) if top.has("flows") else None,
         rebalance=_rebalance(top.section("rebalance"), settings) if top.has("rebalance") else None,
+        overrides=_overrides(top.section("overrides")) if top.has("overrides") else None,
     )
 
 
@@ -257,6 +261,28 @@
     )
 
 
+def _overrides(section: Section) -> OverrideOptions:
+    from sageturn.overrides.ops import read_public
+    from sageturn.overrides.options import OverrideOptions
+    from sageturn.overrides.resolve import Floors
+
+    section.only("operators", "longest_s", "floor_all", "floor_zone", "floor_pin")
+    operators = {}
+    for name, text in section.get("operators", dict, {}).items():
+        try:
+            operators[name] = read_public(text)
+        except (ValueError, TypeError) as error:
+            raise ConfigError(f"{section.path('operators')}.{name}: no public key: {error}") from None
+    usual = Floors()
+    floors = {}
+    for key, default in (("all", usual.all), ("zone", usual.zone), ("pin", usual.pin)):
+        floors[key] = section.number(f"floor_{key}", default)
+        if floors[key] > 1.0:
+            raise ConfigError(f"{section.path(f'floor_{key}')}: must be from 0 to 1")
+    longest_s = section.number("longest_s", OverrideOptions().longest_s, least=1.0)
+    return OverrideOptions(operators, longest_s, Floors(**floors))
+
+
 def _names(section: Section, key: str, default: list[str], known: list[str]) -> list[str]:
     names = section.get(key, list, default)
     for number, name in enumerate(names):
--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -30,6 +30,7 @@
         self.addresses = dict(known.addresses)
         self._states = {s.name: s.state for s in known.servers}
         self.usable = asyncio.Event()
+        self.out: Callable[[str], bool] = lambda endpoint: False  # whether an operator took it out of service
         self.watcher: Watcher | None = None
 
     async def put(self, message: ListMessage) -> None:
@@ -37,7 +38,7 @@
 
     def ready(self, endpoint: str) -> bool:
         """For a call that takes long to set up: whether the endpoint may still be given work."""
-        return self._states.get(endpoint) == "ready"
+        return self._states.get(endpoint) == "ready" and not self.out(endpoint)
 
     def want_watch(self) -> None:
         """Called by the module's actor, which must never wait for this one."""
--- a/sageturn/core/hosts.py
+++ b/sageturn/core/hosts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from sageturn.rules import Balancer
@@ -21,17 +22,27 @@
     started_ms: float = 0.0
 
 
-def look(balancer: Balancer, now_ms: float) -> list[HostView]:
-    """Every host that is not gone, in the order in which the module came to know them."""
+@dataclass(frozen=True, slots=True)
+class Marks:
+    """Hosts that operators have marked: not rebalanced, out of service, and to be cleared of connections."""
+
+    held: frozenset[str] = frozenset()
+    out: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+
+
+def look(balancer: Balancer, now_ms: float, names: Iterable[str] | None = None) -> list[HostView]:
+    """Every host that is not gone, or those named, in the order in which the module came to know them."""
     views = []
     warm_ms = balancer.settings.warm_within_ms
-    for s in balancer.servers.values():
+    known = balancer.servers
+    for s in known.values() if names is None else [known[n] for n in sorted(names) if n in known]:
         if s.state == "gone":
             continue
         shut = s.closed or now_ms < s.spent_until_ms or not s.ready
         room = 0 if shut else max(0, s.limit - s.pending)
         if s.cold and now_ms < s.started_ms + warm_ms:
-            room = min(room, 1)  # its budget is spent one by one
+            room = min(room, balancer._cold_ok(now_ms, s))  # its budget is spent one by one
         out = s.state == "ready" and not s.ready
         views.append(
             HostView(s.name, s.size, s.ready, room, s.zone, s.state == "draining", out, s.started_ms)
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -18,6 +18,7 @@
     hint: float = 0.0
     standing_at: str = ""  # the endpoint that held this connection before the relay started
     client: str = ""  # its key, the same after a reconnect
+    returned: bool = False  # it says that its connection was moved, or broke
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageturn/core/module.py
+++ b/sageturn/core/module.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from sageturn import interface as api
@@ -45,7 +45,7 @@
         self._last_id = 0
         self._timers: set[asyncio.TimerHandle] = set()
         self.placements: list[tuple[int, str]] | None = None  # a test's record of every Send
-        self.companion: Companion | None = None
+        self.companions: list[Companion] = []
 
     # ------------------------------------------------------------ for others
 
@@ -67,11 +67,12 @@
         self._instruct(request_id, MoveClient())
 
     def drained(self, request_id: int) -> None:
-        if self.companion is not None:
-            self.companion.moved_by_other(self.clock.now_ms(), request_id)
+        for companion in self.companions:
+            companion.moved_by_other(self.clock.now_ms(), request_id)
 
-    def look(self) -> list[HostView]:
-        return look(self._balancer, self.clock.now_ms())
+    def look(self, names: Iterable[str] | None = None) -> list[HostView]:
+        """The hosts as the module believes them to be; all that are not gone, or those named."""
+        return look(self._balancer, self.clock.now_ms(), names)
 
     # ------------------------------------------------------------ the actor
 
@@ -85,8 +86,8 @@
 
     def _handle(self, event: api.Event) -> None:
         now_ms = self.clock.now_ms()
-        if self.companion is not None:
-            self._attend(self.companion.before, now_ms, event)
+        for companion in list(self.companions):
+            self._attend(companion, companion.before, now_ms, event)
         try:
             actions = self._balancer.handle(now_ms, event)
         except Exception:
@@ -96,18 +97,18 @@
             if owner is not None:
                 self._instruct(owner, Answer(refused=False, why="internal"))
             return
-        if self.companion is not None:
-            self._attend(self.companion.after, now_ms, event, actions)
+        for companion in list(self.companions):
+            self._attend(companion, companion.after, now_ms, event, actions)
         for action in actions:
             self._act(action)
 
-    def _attend(self, hear: Callable[..., None], *what: object) -> None:
+    def _attend(self, companion: Companion, hear: Callable[..., None], *what: object) -> None:
         """A companion that fails is let go: no decision may wait for it, or be lost with it."""
         try:
             hear(*what)
         except Exception:
-            log.exception("the module's companion failed, and is no longer heard")
-            self.companion = None
+            log.exception("a companion of the module failed, and is no longer told anything")
+            self.companions.remove(companion)
 
     def _act(self, action: api.Action) -> None:
         match action:
--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -91,7 +91,7 @@
                 await self._module.tell(
                     api.Request(
                         self.id, ask.class_name, ask.tenant, self._give_up_ms, ask.group, ask.hint,
-                        client=ask.client,
+                        client=ask.client, returned=ask.returned,
                     )  # fmt: skip
                 )
                 await self._place()
--- a/sageturn/fronts/firstline.py
+++ b/sageturn/fronts/firstline.py
@@ -68,6 +68,7 @@
             hint=float(hint) if _NUMBER.fullmatch(hint) else 0.0,
             standing_at=found.get(b"at", b"").decode(),
             client=match[2].decode(),
+            returned=found.get(b"again") == b"1",
         ),
         wait[0],
         wait[1],
--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -108,6 +108,7 @@
     started_at_ms: float = 0.0
     share: float = 1.0  # weight against the others, in any one unit
     kind: str = ""  # of machine: servers of one kind are taken to be equally fast
+    factor: float = 1.0  # by which an operator makes it count for more or less than its size
 
 
 @dataclass(slots=True)
@@ -134,8 +135,11 @@
     hint: float = 0.0
     midflow: bool = False
     client: str = ""
+    returned: bool = False  # it says that its connection was moved, or broke
     moved_off: str = ""
     spared_until_ms: float = 0.0
+    allowed: frozenset[str] | None = None  # servers that an operator binds it to,
+    strict: bool = False  # on every attempt, or (False) only on the first
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/sageturn/lab/overriding.py
@@ -0,0 +1,196 @@
+"""Measures operators' overrides.
+
+    python -m sageturn.lab.overriding obeying       # 3 relays, their stores linked, under steady load
+    python -m sageturn.lab.overriding resolution    # 5,000 hosts and 500 overrides
+    python -m sageturn.lab.overriding cost          # of a request, with no override set
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from base64 import b64encode
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import uvloop
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat
+
+from sageturn import interface as api
+from sageturn.core.clock import Clock
+from sageturn.core.module import ModuleActor
+from sageturn.lab.loopback import deployed, reserve_port
+from sageturn.lab.rebalancing import show
+from sageturn.lab.spec import Spec
+from sageturn.overrides.actor import Overrides
+from sageturn.overrides.model import fold
+from sageturn.overrides.ops import Body, Op, Selector, new_id, new_nonce, sign
+from sageturn.overrides.options import OverrideOptions
+from sageturn.overrides.resolve import Floors, Resolver
+from sageturn.store.frames import read_secret
+from sageturn.store.replica import connected
+from sageturn.store.store import Store
+
+KEY = Ed25519PrivateKey.generate()
+HOUR_MS = 3_600_000.0
+KNOWN_MS = 500.0  # after it knew, a relay may place nothing there
+
+
+def word(override: str, body: Body | None, revision: int = 1, at_ms: float | None = None) -> Op:
+    at_ms = time.time() * 1000.0 if at_ms is None else at_ms
+    what, until_ms = ("set", at_ms + HOUR_MS) if body is not None else ("revoke", 0.0)
+    return Op(override, what, revision, at_ms, "lab", "measured", until_ms, body, nonce=new_nonce())
+
+
+# ---------------------------------------------------------------- obeying
+
+
+async def _obeying(rounds: int) -> dict[str, Any]:
+    spec = Spec(relays=3, hosts=12, early=12, connections=600, life_s=6.0)
+    reserved = [reserve_port() for _ in range(spec.relays)]
+    ports = [port for _, port in reserved]
+    public = b64encode(KEY.public_key().public_bytes(Encoding.Raw, PublicFormat.Raw)).decode()
+
+    def more(relay: int, folder: Path) -> dict[str, Any]:
+        (folder / "secret").write_text("lab")
+        peers = [f"127.0.0.1:{port}" for port in ports if port != ports[relay]]
+        store = {"path": "store", "listen": f"127.0.0.1:{ports[relay]}", "peers": peers}
+        return {
+            "store": {**store, "secret_file": "secret"},
+            "overrides": {"operators": {"lab": public}},
+        }
+
+    took: list[float] = []
+    placed_late = placed = 0
+    async with deployed(spec, "off", {}, more) as deployment:
+        playing = asyncio.ensure_future(deployment.play(rounds * 3.0 + 20.0))
+        await asyncio.sleep(3.0)
+        async with connected(("127.0.0.1", ports[0]), read_secret("lab"), 10.0) as store:
+            for number in range(rounds):
+                host = deployment.hosts[number % len(deployment.hosts)]
+                op = word(new_id("out"), Body("out", Selector("host", host.model.name)))
+                began_s = time.monotonic()
+                store.put(op.key, sign(op, KEY))
+                await _told_by_all(store, spec.relays, op)
+                known_s = time.monotonic()
+                took.append((known_s - began_s) * 1000.0)
+                await asyncio.sleep(1.5)
+                # The state comes back later than the relay knew: what counts is counted too strictly here.
+                placed_late += sum(at > known_s + KNOWN_MS / 1000.0 for at in host.opened)
+                placed += sum(at > began_s for d in deployment.hosts for at in d.opened)
+                op = word(op.override, None, 2)
+                store.put(op.key, sign(op, KEY))
+                await _told_by_all(store, spec.relays, op)
+        playing.cancel()
+        await asyncio.wait((playing,))
+        seen = deployment.seen.counts
+    return {
+        "rounds": rounds,
+        "set to the last relay's word of it, p50 ms": round(float(np.percentile(took, 50)), 1),
+        "p99 ms": round(float(np.percentile(took, 99)), 1), "requests placed meanwhile": placed,
+        "on an out-of-service host over 500 ms after": placed_late, "unanswered": seen["unanswered"],
+        "errors": seen["error"], "refused": seen["busy"],
+    }  # fmt: skip
+
+
+async def _told_by_all(store: Store, relays: int, op: Op) -> None:
+    async with asyncio.timeout(10.0):
+        while True:
+            states = [store.get(f"state/r{n}/overrides") for n in range(relays)]
+            if all(state and state["words"].get(op.override) == op.revision for state in states):
+                return
+            await asyncio.sleep(0.001)
+
+
+# ---------------------------------------------------------------- resolution
+
+
+def _resolution() -> dict[str, Any]:
+    rng = np.random.Generator(np.random.PCG64(1))
+    hosts = [
+        api.Server(f"h{k}", "ready", f"z{k % 20}", k % 50, 0.0, 1.0, f"k{k % 4}") for k in range(5000)
+    ]
+    overrides = []
+    for n in range(500):
+        kind = ("out", "weight", "hold")[n % 3]
+        wide = n % 50 == 0
+        selector = Selector("cell", str(n % 50)) if wide else Selector("host", f"h{int(rng.integers(5000))}")
+        body = Body(kind, selector, factor=0.5 if kind == "weight" else 1.0)
+        override = fold([word(f"x{n}", body, 1, n)], 1e12)
+        assert override is not None
+        overrides.append(override)
+    wholes: list[float] = []
+    changes: list[float] = []
+    for _ in range(10):
+        resolver = Resolver(Floors(0.2, 0.1, 0.0))
+        began = time.perf_counter()
+        for override in overrides:
+            resolver.put(override)
+        resolver.listed(hosts, True)
+        wholes.append((time.perf_counter() - began) * 1000.0)
+        for override in overrides[::7]:
+            # One lapses, and another of its like is set: the newest, as what is set now always is.
+            newer = replace(override, id=f"{override.id}-again", set_ms=1000.0 + len(changes))
+            began = time.perf_counter()
+            resolver.drop(override.id)
+            changes.append((time.perf_counter() - began) * 1000.0)
+            began = time.perf_counter()
+            resolver.put(newer)
+            changes.append((time.perf_counter() - began) * 1000.0)
+    return {
+        "hosts": len(hosts), "overrides": len(overrides), "suspended": len(resolver.suspended),
+        "whole, ms (median)": round(float(np.median(wholes)), 1),
+        "one change, ms p50": round(float(np.percentile(changes, 50)), 3),
+        "one change, ms p99": round(float(np.percentile(changes, 99)), 3),
+    }  # fmt: skip
+
+
+# ---------------------------------------------------------------- cost
+
+
+def _cost() -> dict[str, Any]:
+    """A request from its arrival to its end in the module's actor, with the companion and without."""
+
+    def run(beside: bool) -> float:
+        settings = api.Settings(classes=(api.RequestClass("c", 500.0),), groups=True)
+        module = ModuleActor(settings, 1, Clock(), lambda: None)
+        if beside:
+            Overrides(module, OverrideOptions(), Store("lab"), lambda state: None)
+        module._handle(api.ServerList("full", [api.Server(f"h{k}") for k in range(20)]))
+        sent: list[str] = []
+        module._instruct = lambda _, what: sent.append(getattr(what, "endpoint", ""))  # type: ignore
+        began = time.perf_counter()
+        for n in range(20_000):
+            module._handle(api.Request(n, "c", "t", 1e18, f"g{n % 50}"))
+            module._handle(api.FirstSign(n, 0, sent[-1], 20.0))
+            module._handle(api.Outcome(n, 0, sent[-1], "ok", True))
+        return (time.perf_counter() - began) / 20_000 * 1e6
+
+    pairs = [(run(False), run(True)) for _ in range(7)]
+    without, beside = (float(np.median(column)) for column in zip(*pairs, strict=True))
+    return {
+        "microseconds a request without": round(without, 2), "with, and none set": round(beside, 2),
+        "more": f"{beside / without - 1.0:+.1%}", "spread of seven runs without":
+        f"{max(p[0] for p in pairs) / min(p[0] for p in pairs) - 1.0:.1%}",
+    }  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="sageturn.lab.overriding", description=__doc__)
+    parser.add_argument("what", choices=("obeying", "resolution", "cost"))
+    parser.add_argument("--rounds", type=int, default=60)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    row = (
+        uvloop.run(_obeying(options.rounds)) if options.what == "obeying"
+        else _resolution() if options.what == "resolution" else _cost()
+    )  # fmt: skip
+    show(f"overrides: {options.what}", {"": row}, options.json)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sageturn/lab/report.py
@@ -0,0 +1,195 @@
+"""Reports of results: one HTML page that needs nothing else, and Markdown."""
+
+from __future__ import annotations
+
+import html
+import io
+from base64 import b64encode
+from itertools import combinations
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+import matplotlib.pyplot as plt  # noqa: E402  (the backend is chosen first: there is no screen)
+import numpy as np  # noqa: E402
+
+from sageturn.lab.compare import compare  # noqa: E402
+from sageturn.lab.runs import Line, Results  # noqa: E402
+
+SHOWN = (
+    "goal", "service", "worst_class", "worst_member", "worst_window", "late", "refused", "moved", "cut",
+    "ratio",
+)  # fmt: skip
+COMPARED = ("goal", "service", "late", "refused", "moved")
+STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:70rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:1rem 0}
+td,th{padding:.2rem .7rem;text-align:right;border-bottom:1px solid #ddd}
+td:first-child,th:first-child{text-align:left}img{max-width:100%}.good{color:#17692f}.bad{color:#a3241c}"""
+
+
+def table(results: Results) -> list[list[str]]:
+    """A row for each scenario and variant, means over the seeds."""
+    rows = [["scenario", "variant", "seeds", *SHOWN]]
+    ordered = sorted(results.runs, key=_order(results))
+    keys = dict.fromkeys((run["scenario"], run["variant"]) for run in ordered)
+    for scenario, variant in keys:
+        runs = [r for r in results.runs if (r["scenario"], r["variant"]) == (scenario, variant)]
+        means = [float(np.mean([r["metrics"][name] for r in runs])) for name in SHOWN]
+        rows.append([scenario, variant, str(len(runs)), *(f"{value:.3f}" for value in means)])
+    return rows
+
+
+def _order(results: Results) -> Any:
+    experiment = results.head["experiment"]
+    scenarios = [s["name"] for s in experiment["scenarios"]]
+    variants = [v["name"] for v in experiment["variants"]]
+    return lambda run: (scenarios.index(run["scenario"]), variants.index(run["variant"]), run["seed"])
+
+
+def differences(results: Results) -> list[list[str]]:
+    variants = list(dict.fromkeys(v["name"] for v in results.head["experiment"]["variants"]))
+    rows = [["metric", "from", "to", "scenario", "pairs", "difference", "95% interval", "settled"]]
+    for first, second in combinations(variants, 2):
+        for metric in COMPARED:
+            try:
+                found = compare(results, first, second, metric, by_scenario=metric == "goal")
+            except ValueError:
+                continue
+            for d in found:
+                settled = "yes" if d.settled else f"no: {d.more_pairs:g} pairs would" if d.mean else "no"
+                span = f"{d.low:+.4f} to {d.high:+.4f}"
+                about = [metric, first, second, d.scenario or "all", str(d.pairs)]
+                rows.append([*about, f"{d.mean:+.4f}", span, settled])
+    return rows
+
+
+def markdown(results: Results) -> str:
+    head = results.head
+    parts = [f"# {head['experiment']['name']}", "", head["experiment"].get("why", ""), "", _made_by(head), ""]
+    for title, rows in (("Means", table(results)), ("Differences", differences(results))):
+        if len(rows) > 1:
+            parts += [f"## {title}", "", *_markdown_table(rows), ""]
+    return "\n".join(parts)
+
+
+def _made_by(head: Line) -> str:
+    libraries = ", ".join(f"{name} {text}" for name, text in head["libraries"].items())
+    return f"Made by revision {head['revision']}, Python {head['python']}, {libraries}."
+
+
+def _markdown_table(rows: list[list[str]]) -> list[str]:
+    lines = ["| " + " | ".join(row) + " |" for row in rows]
+    return [lines[0], "|" + " --- |" * len(rows[0]), *lines[1:]]
+
+
+def page(results: Results) -> str:
+    """HTML with its plots inside."""
+    head = results.head
+    name = html.escape(head["experiment"]["name"])
+    parts = [
+        f"<!doctype html><html lang=en><meta charset=utf-8><title>{name}</title><style>{STYLE}</style>",
+        f"<h1>{name}</h1><p>{html.escape(head['experiment'].get('why', ''))}</p>",
+        f"<p>{html.escape(_made_by(head))}</p>",
+    ]
+    for title, rows in (("Means over the seeds", table(results)), ("Differences", differences(results))):
+        if len(rows) > 1:
+            parts.append(f"<h2>{title}</h2>{_html_table(rows)}")
+    for scenario in head["experiment"]["scenarios"]:
+        runs = [run for run in results.runs if run["scenario"] == scenario["name"]]
+        if runs:
+            parts.append(f"<h2>{html.escape(scenario['name'])}</h2>")
+            parts += [_picture(figure) for figure in plots(scenario, runs)]
+    return "\n".join(parts) + "</html>\n"
+
+
+def _html_table(rows: list[list[str]]) -> str:
+    def cells(row: list[str], tag: str) -> str:
+        return "<tr>" + "".join(f"<{tag}>{html.escape(cell)}</{tag}>" for cell in row) + "</tr>"
+
+    return "<table>" + cells(rows[0], "th") + "".join(cells(row, "td") for row in rows[1:]) + "</table>"
+
+
+def _picture(figure: Any) -> str:
+    out = io.BytesIO()
+    figure.savefig(out, format="png", dpi=80)
+    plt.close(figure)
+    return f'<img alt="" src="data:image/png;base64,{b64encode(out.getvalue()).decode()}">'
+
+
+# ---------------------------------------------------------------- plots
+
+
+def plots(scenario: Line, runs: list[Line]) -> list[Any]:
+    """Of one scenario: what each variant's first seed shows over time, troubles marked."""
+    seed = min(run["seed"] for run in runs)
+    shown = [run for run in runs if run["seed"] == seed]
+    return [_over_time(scenario, shown), _by_class_and_member(scenario, shown), _heat(scenario, shown)]
+
+
+def _mark(axis: Any, scenario: Line) -> None:
+    for trouble in scenario.get("troubles", []):
+        start = trouble["start_s"]
+        axis.axvspan(start, start + trouble["length_s"], color="0.9", zorder=0)
+        axis.text(start, 1.0, trouble["kind"], transform=axis.get_xaxis_transform(), fontsize=7, va="bottom")
+
+
+def _over_time(scenario: Line, runs: list[Line]) -> Any:
+    figure, axes = plt.subplots(2, 2, figsize=(12, 6), layout="constrained")
+    classes = len(runs[0]["series"]["set_ups"])
+    for run in runs:
+        series = run["series"]
+        wanted, served = np.array(series["wanted"]), np.array(series["served"])
+        share = served[:, :classes].sum(axis=1) / np.maximum(wanted[:, :classes].sum(axis=1), 1e-9)
+        seconds = np.arange(1, len(share) + 1)
+        axes[0, 0].plot(seconds, share, label=run["variant"])
+        axes[0, 1].plot(seconds, series["ratio"], label=run["variant"])
+        axes[1, 0].plot(seconds, np.diff(series["moved"], prepend=0), label=run["variant"])
+        axes[1, 1].plot(seconds, np.diff(series["refused"], prepend=0), label=run["variant"])
+    titles = ("service", "fullest host over the mean", "moves a second", "fail-fast answers a second")
+    for axis, title in zip(axes.flat, titles, strict=True):
+        axis.set_title(title)
+        axis.set_xlabel("s")
+        _mark(axis, scenario)
+    axes[0, 0].set_ylim(0, 1.02)
+    axes[0, 0].legend()
+    return figure
+
+
+def _by_class_and_member(scenario: Line, runs: list[Line]) -> Any:
+    from sageturn.lab.spec import CLASSES, MEMBERS
+
+    names = [c.name for c in CLASSES] + list(MEMBERS)
+    figure, axes = plt.subplots(1, 2, figsize=(12, 3.2), layout="constrained", width_ratios=(3, 2))
+    width = 0.8 / len(runs)
+    for k, run in enumerate(runs):
+        wanted, served = np.array(run["series"]["wanted"]), np.array(run["series"]["served"])
+        share = served.sum(axis=0) / np.maximum(wanted.sum(axis=0), 1e-9)
+        axes[0].bar(np.arange(len(names)) + k * width, share, width, label=run["variant"])
+        p99 = [s["99.0"] for s in run["series"]["set_ups"]]
+        axes[1].bar(np.arange(len(CLASSES)) + k * width, p99, width)
+    axes[0].set_xticks(np.arange(len(names)) + 0.4 - width / 2, names, rotation=35, ha="right", fontsize=8)
+    axes[0].set_title("service by class and by member")
+    axes[0].set_ylim(0, 1.02)
+    axes[0].legend()
+    for k, cls in enumerate(CLASSES):
+        axes[1].hlines(cls.aim_ms, k - 0.1, k + 0.9, color="k")
+    places = np.arange(len(CLASSES)) + 0.3
+    axes[1].set_xticks(places, [c.name for c in CLASSES], rotation=35, ha="right", fontsize=8)
+    axes[1].set_title("set-ups, p99 in ms, and the aim")
+    axes[1].set_yscale("log")
+    return figure
+
+
+def _heat(scenario: Line, runs: list[Line]) -> Any:
+    figure, axes = plt.subplots(1, len(runs), figsize=(12, 3), layout="constrained", squeeze=False)
+    for axis, run in zip(axes[0], runs, strict=True):
+        fills = np.array(run["series"]["fills"]).T
+        shown = np.ma.masked_less(fills, 0.0)
+        extent = (0, scenario["seconds"], 0, len(fills))
+        image = axis.imshow(shown, aspect="auto", origin="lower", vmin=0.0, vmax=1.2, extent=extent)
+        axis.set_title(f"fill by host: {run['variant']}")
+        axis.set_xlabel("s")
+    figure.colorbar(image, ax=axes[0].tolist())
+    return figure
--- a/sageturn/rebalance/balance.py
+++ b/sageturn/rebalance/balance.py
@@ -2,8 +2,8 @@
 
 A host's fill is its load over its size. The measure is the fullest host's fill over the mean of those it is
 compared with. A relay sees only its own connections, a sample of each host's: with few of them chance alone
-makes hosts look unequal. What chance would make of the sample is therefore taken off (empirical Bayes, as
-in the James-Stein estimator: the part of the spread that chance explains shrinks every host to the mean).
+makes hosts look unequal. What the other relays hold there is therefore guessed by what is left of the spread
+once that which chance explains is taken off (empirical Bayes, as in the James-Stein estimator).
 """
 
 from __future__ import annotations
@@ -13,8 +13,7 @@
 
 from sageturn.core.hosts import HostView
 from sageturn.rebalance.book import Book
-
-GROUP_COST = 1.5  # mean loads that a host pays for each group of which it holds any, as the site's brief says
+from sageturn.rules import GROUP_COST
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +31,7 @@
     """Of one set of hosts that are compared with each other."""
 
     fills: tuple[Fill, ...]
-    trust: float  # 0: all of the spread may be chance; 1: all of it is real
+    trust: float  # how much of our own spread the whole fleet is guessed to have, from 0 to 1
     load: float
 
     @property
@@ -73,7 +72,9 @@
     # Each of a host's connections is ours with the chance of one in ``sharers``: the variance of our load
     # there is what one weighs, times what is due, less the part of the fleet that we see whole.
     chance = (len(hosts) - 1) * book.weight_of_one * max(0.0, 1.0 - 1.0 / max(1.0, sharers))
-    trust = max(0.0, 1.0 - chance / spread) if spread > 0 else 0.0
+    common = max(0.0, 1.0 - chance / spread) if spread > 0 else 0.0
+    # Ours is a part of each host's load itself, and so counts whole; of the others' we expect what is common.
+    trust = common + (1.0 - common) / max(1.0, sharers)
     fills = tuple(
         Fill(h.name, load, due, 1.0 + trust * (load / due - 1.0), h.room, h.size)
         for h, load, due in zip(hosts, loads, dues, strict=True)
--- a/sageturn/rebalance/clients.py
+++ b/sageturn/rebalance/clients.py
@@ -55,6 +55,15 @@
         self.on_way.pop(client, None)
         self.on_way[client] = now_ms + self.options.back_within_s * 1000.0
 
+    def returned(self, client: int, now_ms: float) -> None:
+        """One that says it was moved or broken off, perhaps at another relay, which this one is not told of.
+
+        It is left alone like one that this relay moved. For want of room it may go unremembered.
+        """
+        if client and client not in self._moved and self.room_for(1):
+            until_ms = now_ms + self.options.again_s * 1000.0
+            self._moved[client] = Moved(now_ms, "", "", 1, until_ms, False)
+
     def last_move(self, client: int) -> Moved | None:
         return self._moved.get(client)
 
--- a/sageturn/rebalance/driver.py
+++ b/sageturn/rebalance/driver.py
@@ -33,7 +33,7 @@
         self._told_ms = 0.0
         self._said: tuple[str, str] = ("", "")
         self._adopt_all()
-        module.companion = self
+        module.companions.append(self)
 
     def _adopt_all(self) -> None:
         """It may be turned on while connections stand; what they have told of their loads comes again."""
@@ -61,7 +61,7 @@
         now_ms = self._module.clock.now_ms()
         minute = int(now_ms // 60000.0) % DAY_MIN
         plan = self.tick(now_ms, self._module.look(), minute, self._lives.stopping)
-        if self.options.mode == "on" and self._module.companion is self:
+        if plan.phase != "dry-run" and self in self._module.companions:
             for move in plan.moves:
                 self._module.move(move.request_id)
         self._say(plan)
--- a/sageturn/rebalance/options.py
+++ b/sageturn/rebalance/options.py
@@ -13,8 +13,8 @@
     """Times in seconds, ratios against the mean of the fleet; ``quiet_hours`` in minutes of the UTC day."""
 
     mode: str = "off"
-    start: float = 1.15  # the fullest host against the mean: planning starts above this
-    stop: float = 1.05  # and goes on until it is under this
+    start: float = 1.10  # the fullest host against the mean: planning starts above this
+    stop: float = 1.04  # and goes on until it is under this
     part_per_min: float = 0.10  # of a relay's own connections, moved in a minute at most
     fleet_per_s: float = 0.0  # moves a second of all relays together at most; 0: no such bound
     burst: int = 32  # moves at once at most, so also the largest group that is ever moved
--- a/sageturn/rebalance/planner.py
+++ b/sageturn/rebalance/planner.py
@@ -12,14 +12,14 @@
 from random import Random
 
 from sageturn import interface as api
-from sageturn.core.hosts import HostView
+from sageturn.core.hosts import HostView, Marks
 from sageturn.rebalance.balance import Balance, Fill, weigh
 from sageturn.rebalance.book import Book
 from sageturn.rebalance.clients import Clients, client_number
 from sageturn.rebalance.options import RebalanceOptions
 from sageturn.rebalance.pace import Pace, Sign
 from sageturn.rebalance.signs import Signs
-from sageturn.rebalance.units import PASSING, Block, Sight, Unit, units
+from sageturn.rebalance.units import PASSING, Block, Sight, Unit, parting, units
 
 SIGHT = 2000  # connections looked at in a tick at most
 ROOM_PART = 0.5  # of the set-ups that hosts have room for, moved clients may take this; newcomers need some
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """``phase`` is one word for what the planner does, ``why`` a line for the operator."""
+    """``phase`` is one word for what the planner does, ``why`` a line for the operator.
+
+    ``dry-run`` is the one phase whose moves are not to be made.
+    """
 
     moves: tuple[Move, ...]
     phase: str
@@ -53,6 +56,7 @@
     pair: tuple[str, str]
     group: str
     client: int
+    returned: bool = False
 
 
 class Planner:
@@ -73,6 +77,7 @@
         self._ratios: dict[str, float] = {}
         self._rest_until_ms, self._rest = 0.0, ("", "")
         self._zones: set[str] = set()
+        self.marks = Marks()
         self._set_options(options)
 
     # ------------------------------------------------------------ settings
@@ -93,7 +98,7 @@
 
     def before(self, now_ms: float, event: api.Event) -> None:
         """Says to the module, in the request itself, that its client was moved for balance just now."""
-        if not isinstance(event, api.Request) or self._options.mode != "on":
+        if not isinstance(event, api.Request):
             return
         client = client_number(event.client)
         moved = self.clients.last_move(client)
@@ -101,6 +106,8 @@
             event.spared_until_ms = min(moved.until_ms, moved.at_ms + SPARED_MS)
             if client in self.clients.on_way:
                 event.moved_off = moved.off
+                if self.marks.held and event.allowed is None:
+                    event.allowed = frozenset(self._ratios.keys() - self.marks.held)
 
     def after(self, now_ms: float, event: api.Event, actions: Sequence[api.Action]) -> None:
         match event:
@@ -108,6 +115,7 @@
                 self.signs.asked(now_ms)
                 about = event.class_name, event.tenant, event.group
                 self.expect(now_ms, event.id, about, event.client)
+                self._asked[event.id].returned = event.returned
             case api.Inherited():
                 about = event.class_name, event.tenant, event.group
                 age_ms = self._options.least_age_s * 1000.0
@@ -163,6 +171,8 @@
         self.book.add(now_ms, event.id, event.server, asked.group, asked.pair, asked.client)
         moved = self.clients.stands(asked.client)
         if moved is None:
+            if asked.returned:
+                self.clients.returned(asked.client, now_ms)
             return
         self.signs.back(now_ms)
         self.counts["back"] += 1
@@ -192,13 +202,16 @@
         lost = self.clients.lost(now_ms)
         self.counts["not_back"] += lost
         self.signs.not_back(now_ms, lost)
-        signs = self.signs.read(now_ms, self.book, hosts)
+        signs = self.signs.read(now_ms, self.book, hosts, self.marks.out)
         self.pace.advance(now_ms, len(self.book), signs, self._doing_well())
         self._weigh(hosts)
-        if options.mode == "off":
-            return Plan((), "off", "turned off")
         if stopping:
             return Plan((), "stopping", "the relay leaves and moves everyone itself")
+        cleared = self._clear(now_ms, hosts)
+        if cleared is not None:
+            return cleared
+        if options.mode == "off":
+            return Plan((), "off", "turned off")
         if options.quiet(minute):
             return Plan((), "quiet", "quiet hours")
         self._see_active()
@@ -215,6 +228,33 @@
             return self._take_rest(now_ms, USELESS_MS, "useless", "moved clients land where it is as full")
         return self._plan(now_ms, hosts)
 
+    def _clear(self, now_ms: float, hosts: Sequence[HostView]) -> Plan | None:
+        """Hosts that an operator clears: everyone goes, in whatever mode, at the same pace as any move."""
+        full = [self.book.hosts[name] for name in sorted(self.marks.cleared) if name in self.book.hosts]
+        if not full or now_ms < self.pace.stopped_until_ms or not self.pace.rate:
+            return None
+        whole, room = self._room(hosts)
+        largest = max(1, min(whole, self._options.burst))
+        moves: list[Move] = []
+        for held in full:
+            reason = f"{held.name} is cleared by an operator"
+            for unit in parting(self.book, held, largest, now_ms, self.clients, self._leaving):
+                if self._may_go(unit, room - len(unit.ids)):
+                    break
+                room -= len(unit.ids)
+                self._go(now_ms, unit, reason, moves, really=True)
+        left = sum(held.count for held in full)
+        return Plan(tuple(moves), "clearing", f"{left} still there") if moves else None
+
+    def _room(self, hosts: Sequence[HostView]) -> tuple[int, int]:
+        """Set-ups that moved clients may take: in all, and beyond those that are on the way.
+
+        Whoever is on the way lands somewhere soon; those who went to other relays count until their time is
+        up, since what these have asked to move may come here in their place.
+        """
+        whole = int(ROOM_PART * sum(h.room for h in hosts if h.ready))
+        return whole, whole - len(self.clients.on_way)
+
     def _take_rest(self, now_ms: float, rest_ms: float, phase: str, why: str) -> Plan:
         self._rest_until_ms, self._rest = now_ms + rest_ms, (phase, why)
         return Plan((), phase, why)
@@ -255,10 +295,8 @@
         self.blocks = Counter()
         sight = Sight(SIGHT)
         moves: list[Move] = []
-        # Whoever is on the way lands somewhere soon; those who went to other relays count until their time
-        # is up, since what these have asked to move may come here in their place.
-        whole = int(ROOM_PART * sum(h.room for h in hosts if h.ready))
-        room, largest = whole - len(self.clients.on_way), min(whole, self._options.burst)
+        whole, room = self._room(hosts)
+        largest = min(whole, self._options.burst)
         waits = ""
         for balance in sorted(self.balances, key=lambda b: -b.fullest):
             waits = self._plan_set(balance, now_ms, sight, room - len(moves), largest, moves) or waits
@@ -286,7 +324,8 @@
             return ""
         # Where one is empty, and none much too full, all that are above the mean give a little.
         floor = 1.0 + stop if balance.fullest > 1.0 + stop else 1.0
-        takers = [f for f in balance.fills if f.ratio < 1.0 and f.room > 0]
+        held_back = self.marks.held
+        takers = [f for f in balance.fills if f.ratio < 1.0 and f.room > 0 and f.name not in held_back]
         if not takers:
             return "no emptier host has room"
         ratios = {f.name: f.ratio for f in balance.fills}
@@ -294,7 +333,7 @@
             if donor.ratio <= floor:
                 break
             held = self.book.hosts.get(donor.name)
-            if held is None:
+            if held is None or donor.name in held_back:
                 continue
             taker = min(takers, key=lambda f: (ratios[f.name], f.name))
             most = self._fits(donor, taker, ratios)
@@ -311,7 +350,8 @@
                 room -= len(unit.ids)
                 ratios[donor.name] -= unit.load / donor.due
                 ratios[taker.name] += unit.load / taker.due
-                self._go(now_ms, unit, donor, moves)
+                reason = f"{donor.name} at {donor.ratio:.2f} of the mean: {unit.what}"
+                self._go(now_ms, unit, reason, moves, really=self._options.mode == "on")
                 taker = min(takers, key=lambda f: (ratios[f.name], f.name))
                 if ratios[donor.name] <= floor:
                     break
@@ -333,10 +373,9 @@
             return f"saves for {unit.what}: {max(0.0, self.pace.tokens):.1f} saved"
         return ""
 
-    def _go(self, now_ms: float, unit: Unit, donor: Fill, moves: list[Move]) -> None:
-        reason = f"{donor.name} at {donor.ratio:.2f} of the mean: {unit.what}"
+    def _go(self, now_ms: float, unit: Unit, reason: str, moves: list[Move], really: bool) -> None:
         moves.extend(Move(request_id, reason) for request_id in unit.ids)
-        if self._options.mode == "on":
+        if really:
             self.counts["moved"] += len(unit.ids)
             self.counts["units"] += 1
             for request_id in unit.ids:
--- a/sageturn/rebalance/signs.py
+++ b/sageturn/rebalance/signs.py
@@ -72,9 +72,14 @@
 
     # ------------------------------------------------------------ reading
 
-    def read(self, now_ms: float, book: Book, hosts: Iterable[HostView]) -> list[Sign]:
-        """Those that there are now; to be called at each tick, with the hosts as they are."""
-        self._see_hosts(now_ms, book, hosts)
+    def read(
+        self, now_ms: float, book: Book, hosts: Iterable[HostView], out: frozenset[str] = frozenset()
+    ) -> list[Sign]:
+        """Those that there are now; to be called at each tick, with the hosts as they are.
+
+        ``out``: hosts that an operator has taken out of service, which look like draining ones.
+        """
+        self._see_hosts(now_ms, book, hosts, out)
         own = max(1, len(book))
         found = []
         refused, asked = self._refused.at(now_ms), self._asked.at(now_ms)
@@ -106,7 +111,9 @@
         self.seen.update(sign.name.lower() for sign in found)
         return found
 
-    def _see_hosts(self, now_ms: float, book: Book, hosts: Iterable[HostView]) -> None:
+    def _see_hosts(
+        self, now_ms: float, book: Book, hosts: Iterable[HostView], out: frozenset[str]
+    ) -> None:
         now = {host.name: host for host in hosts}
         for name, before in self._hosts.items():
             host = now.get(name)
@@ -116,7 +123,7 @@
             elif host.started_ms != before.started_ms:
                 self._lost_ms = now_ms
         for name, host in now.items():
-            if host.draining and name in book.hosts:
+            if host.draining and name in book.hosts and name not in out:
                 self._draining_ms.setdefault(name, now_ms)
             else:
                 self._draining_ms.pop(name, None)
--- a/sageturn/rebalance/units.py
+++ b/sageturn/rebalance/units.py
@@ -106,6 +106,29 @@
             yield Unit(held.name, "", (request_id,), (client,), load, False)
 
 
+def parting(
+    book: Book, held: Held, largest: int, now_ms: float, clients: Clients, leaving: set[int]
+) -> Iterator[Unit]:
+    """All that may leave a host which is to be cleared, group by group, the larger groups in parts.
+
+    Whoever was moved lately stays until that time is over; there is no other reason to stay.
+    """
+    mean = book.mean
+    for group in sorted(held.parts):
+        part = held.parts[group]
+        going = [
+            (request_id, client)
+            for request_id, client, *_ in book.members(part)
+            if request_id not in leaving and clients.settled(client, now_ms)
+        ]
+        size = 1 if not group else largest
+        for at in range(0, len(going), size):
+            some = going[at : at + size]
+            load = part.load(mean) * len(some) / part.count
+            ids, numbers = (tuple(column) for column in zip(*some, strict=True))
+            yield Unit(held.name, group, ids, numbers, load, len(some) < part.count)
+
+
 def _order(book: Book, part: Part, mean: float) -> tuple[bool, float, str]:
     others = book.straddling[part.group]
     joins = len(others) > 1 and max(others, key=lambda p: (p.count, p.host.name)) is not part
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -14,6 +14,7 @@
 from sageturn.core.clock import Clock
 from sageturn.core.destinations import DestinationSet
 from sageturn.core.drain import Lives
+from sageturn.core.hosts import Marks
 from sageturn.core.messages import SourceMoved
 from sageturn.core.module import ModuleActor
 from sageturn.core.requests import Record
@@ -32,6 +33,7 @@
 from sageturn.store.store import Store
 
 if TYPE_CHECKING:  # read in once an operator's file turns it on
+    from sageturn.overrides.actor import Overrides
     from sageturn.rebalance.driver import Rebalancer
 
 log = logging.getLogger(__name__)
@@ -46,7 +48,14 @@
         self._config, self._read_again = config, read_again
         self._reload = asyncio.Event()
         self.module = ModuleActor(config.settings, config.seed, Clock(), self._want_watch)
-        self.destinations = DestinationSet(config.known, self.module.tell)
+        operator = config.operator
+        self.store = Store(config.name, operator.store_path)
+        self.overrides = self._make_overrides()
+        self.destinations = DestinationSet(
+            config.known, self.overrides.tell if self.overrides else self.module.tell
+        )
+        if self.overrides is not None:
+            self.destinations.out = self.overrides.out
         self.discovery = DiscoveryClient(config.discovery, self.destinations.put)
         self.destinations.watcher = self.discovery
         self.lives = Lives()
@@ -55,8 +64,6 @@
         front = PlatformFront(self.shared)
         self.admission = Admission(config.limits)
         self.listener = Listener(config.listen, front.serve, front.turn_away, self.admission)
-        operator = config.operator
-        self.store = Store(config.name, operator.store_path)
         self.store.on_change.append(self._changed)
         self.replica: Replica | None = None
         if operator.replication is not None:
@@ -86,34 +93,62 @@
         if level in ("DEBUG", "INFO", "WARNING", "ERROR"):
             logging.getLogger().setLevel(level)
 
+    def _make_overrides(self) -> Overrides | None:
+        options = self._config.operator.overrides
+        if options is None:
+            return None
+        from sageturn.overrides.actor import Overrides
+
+        overrides = Overrides(
+            self.module, options, self.store, self._tell("overrides"), self._mark
+        )
+        self.store.on_change.append(overrides.changed)
+        return overrides
+
+    def _mark(self, marks: Marks) -> None:
+        """Operators have marked hosts: clearing one needs a planner, whatever its own mode."""
+        if self.rebalancer is not None:
+            self.rebalancer.marks = marks
+
+    def _tell(self, what: str) -> Callable[[dict[str, object]], None]:
+        """Puts a part's state where an operator can read it at any replica."""
+        key = f"state/{self.store.node}/{what}"
+
+        def tell(state: dict[str, object]) -> None:
+            if state != self.store.get(key):
+                self.store.put(key, state)
+
+        return tell
+
     def _set_rebalancing(self) -> None:
         """As the operator's file has it now. Once on it goes on looking, so as to know who was moved."""
         options = self._config.operator.rebalance
         if self.rebalancer is not None:
             old = self.rebalancer.options
             self.rebalancer.options = options if options is not None else replace(old, mode="off")
-        elif options is not None and options.mode != "off":
+        elif self.overrides is not None or (options is not None and options.mode != "off"):
             from sageturn.rebalance.driver import Rebalancer
+            from sageturn.rebalance.options import RebalanceOptions
 
-            self.rebalancer = Rebalancer(
-                self.module, self.lives, options, self._config.seed, self._tell_rebalancing
+            seed, options = self._config.seed, options or RebalanceOptions()
+            self._add_rebalancer(
+                Rebalancer(self.module, self.lives, options, seed, self._tell("rebalance"))
             )
-            self._actors.append(asyncio.ensure_future(self.rebalancer.run()))
 
-    def _tell_rebalancing(self, state: dict[str, object]) -> None:
-        key = f"state/{self.store.node}/rebalance"
-        if state != self.store.get(key):
-            self.store.put(key, state)
+    def _add_rebalancer(self, rebalancer: Rebalancer) -> None:
+        self.rebalancer = rebalancer
+        if self.overrides is not None:
+            rebalancer.marks = self.overrides.marks
+        self._actors.append(asyncio.ensure_future(rebalancer.run()))
 
     async def _tell_state(self) -> None:
         """What this node has done, where an operator can read it at any replica."""
-        key = f"state/{self.store.node}/relay"
+        tell = self._tell("relay")
         while True:
             standing = sum(life.standing for life in self.lives)
             dropped = self.exporter.dropped if self.exporter else 0
             state = {"standing": standing, "ended": dict(self._counts), "flows_dropped": dropped}
-            if state != self.store.get(key):
-                self.store.put(key, state)
+            tell(state)
             await asyncio.sleep(STATE_S)
 
     def _ended(self, record: Record) -> None:
@@ -157,6 +192,8 @@
         if self._second is not None and new.operator.xmpp is not None:
             self._second.options = new.operator.xmpp
         self._set_rebalancing()
+        if self.overrides is not None and new.operator.overrides is not None:
+            self.overrides.set_options(new.operator.overrides, self.store)
         if new.discovery != old.discovery:
             self.discovery.move(new.discovery)
             await self.destinations.put(SourceMoved())
@@ -165,6 +202,8 @@
 
     def start(self) -> None:
         runs = [self.module.run, self.destinations.run, self.listener.run, self._tell_state, self._reloads]
+        if self.overrides is not None:
+            runs.append(self.overrides.run)
         if self.xmpp is not None:
             runs.append(self.xmpp.run)
         if self.exporter is not None:
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -75,12 +75,10 @@
 
     def __init__(self, line: Server) -> None:
         self.name, self.zone, self.cell = line.name, line.zone, line.cell
-        self.share = 1.0  # size by the list, where the list tells one
         self.spare: list[float] = []  # when our connections here became idle
         self.pooled = False  # among the servers where we have idle ones
-        self.kind = line.kind
         self.hash = crc32(line.name.encode())
-        self.state = line.state
+        self.kind, self.state = line.kind, line.state
         self.started_ms = line.started_at_ms
         self.open = 0  # own connections, pending ones too
         self.pending, self.limit = 0, LIMIT_START
@@ -94,7 +92,8 @@
         self.spent_until_ms = self.soft_until_ms = 0.0  # till then beyond what it can do; fuller than others
         self.late_until_ms = self.weigh_ms = 0.0
         self.took = self.took_ms = 0.0  # mean of the logs of its latest set-up times, and as of when
-        self.part, self.size = 0.0, 1.0  # of our connections, by its size and zone; its size by its kind too
+        # Of our connections, by its size and zone; its size by its kind too; by the list and operators alone.
+        self.part, self.size, self.share = 0.0, 1.0, 1.0
         self.conns: dict[int, _Request] = {}  # own connections that stand
         self.work, self.heard = 0.0, 0  # sum of the loads told of these, and of how many
         self.room = float("inf")  # own connections it can hold, once it has shown that it cannot hold all
@@ -111,8 +110,8 @@
     """A request held or a connection open."""
 
     __slots__ = ("id", "cls", "give_up_ms", "aim_ms", "server", "attempts", "state", "done", "midflow",
-                 "ran_zone", "ran_cell", "ran_ms", "sent_ms", "group", "load", "told", "tenant",
-                 "spared_ms")  # fmt: skip
+                 "ran_zone", "ran_cell", "ran_ms", "sent_ms", "group", "load", "told", "tenant", "spared_ms",
+                 "allowed", "strict")  # fmt: skip
 
     def __init__(self, e: Request | Inherited, cls: RequestClass, give_up_ms: float, aim_ms: float) -> None:
         self.id, self.cls, self.give_up_ms, self.aim_ms = e.id, cls, give_up_ms, aim_ms
@@ -122,7 +121,8 @@
         self.server: _Server | None = None  # of the latest attempt
         self.attempts = 0
         self.state = HELD
-        self.done = False  # answered or given up; only the attempt's outcome is still to come
+        self.allowed: frozenset[str] | None = None  # by an operator's pin; strict: on every attempt
+        self.strict = self.done = False  # done: answered or given up; only an outcome is still to come
         self.ran_zone, self.ran_cell, self.ran_ms = "", 0, -1.0  # first attempt that may have run
         self.sent_ms = self.spared_ms = 0.0
 
@@ -158,10 +158,9 @@
         self.group_open: dict[str, int] = {}  # the same by group
         self.ranked: dict[str, list[_Server]] = {}  # by group: servers in the order of its hashes
         self.closed: dict[str, _Server] = {}
-        self.review_ms = 0.0
         self.sum_pending = self.sum_limits = self.sum_open = 0  # over ready servers
         self.sum_blind = 0  # limits of ready servers on which we hold nothing
-        self.watching = False
+        self.watching, self.review_ms = False, 0.0
         self.watch_wait_ms = WATCH_RETRY_MS
         self.actions: list[Action] = []
         self.now_ms = 0.0
@@ -299,6 +298,7 @@
         cls = self.classes.get(e.class_name) or self.settings.classes[0]
         r = _Request(e, cls, e.give_up_at_ms, min(e.give_up_at_ms, now_ms + cls.aim_ms))
         r.server, r.spared_ms = self.servers.get(e.moved_off), e.spared_until_ms  # avoided, as one tried is
+        r.allowed, r.strict = e.allowed, e.strict
         self._review_closed(now_ms)
         self.requests[e.id] = r
         if not e.midflow:
@@ -435,6 +435,8 @@
 
     def _may_send(self, now_ms: float, r: _Request, s: _Server) -> bool:
         """The rules: cold budget, and where a keyed request may have run only its group will do."""
+        if r.allowed is not None and s.name not in r.allowed and (r.strict or not r.attempts):
+            return False
         if s.cold and not self._cold_ok(now_ms, s):
             return False
         if r.ran_ms < 0 or r.cls.effect == "safe":
@@ -489,8 +491,7 @@
         r = self.requests.get(e.id)
         if r is None or r.state != PENDING or e.attempt != r.attempts - 1 or r.server is None:
             return
-        r.state = OPEN
-        s = r.server
+        r.state, s = OPEN, r.server
         if not r.done:
             s.conns[r.id] = r
         self._count(s, -1, 0)
@@ -709,8 +710,7 @@
                     known.fresh = now_ms - line.started_at_ms < self.settings.warm_within_ms
             elif line.state != "gone":
                 known.zone, known.cell, known.kind = line.zone, line.cell, line.kind
-            if self.sized:
-                known.share = line.share
+            known.share = (line.share if self.sized else 1.0) * line.factor
             known.state = line.state
             if line.started_at_ms and line.started_at_ms != known.started_ms:
                 # Same name, new process: what was learned of the old one no longer counts.
@@ -740,8 +740,8 @@
             elif s.state == "ready":
                 self.out.append(s)
             self._sum(s)
-        if self.settings.price_cross_zone:
-            self.near = [s for s in self.ready if s.zone == self.settings.zone]
+        own = self.settings.zone if self.settings.price_cross_zone else None
+        self.near = [s for s in self.ready if s.zone == own]
         self._share_out()
 
     def _share_out(self) -> None:
--- a/sageturn/store/__main__.py
+++ b/sageturn/store/__main__.py
@@ -10,17 +10,15 @@
 import asyncio
 import getpass
 import json
-import secrets
 import sys
 from pathlib import Path
 
 from sageturn.fronts.xmpp.accounts import PREFIX, make_record
-from sageturn.net.admission import Admission, Limits
 from sageturn.net.discovery import parse_address
 from sageturn.store.frames import read_secret
 from sageturn.store.log import Damaged
 from sageturn.store.records import BadRecord
-from sageturn.store.replica import Replica, ReplicaOptions
+from sageturn.store.replica import connected
 from sageturn.store.store import Store
 
 WAIT_S = 5.0
@@ -48,25 +46,13 @@
 
 
 async def run_connected(options: argparse.Namespace) -> int:
-    """Take all that the daemon has, act, and stay until the daemon has what was written."""
-    store = Store(f"operator-{secrets.token_hex(4)}")
     secret = read_secret(Path(options.secret_file).read_text())
-    peer = parse_address(options.connect)
-    options_here = ReplicaOptions(("127.0.0.1", 0), (peer,), secret, interval_s=0.2)
-    replica = Replica(store, options_here, Admission(Limits(sockets=1024, memory_mb=192.0)))
-    replica.start()
     try:
-        async with asyncio.timeout(WAIT_S):
-            await replica.in_step.wait()
-            code = run(store, options)
-            replica.in_step.clear()
-            await replica.in_step.wait()
-        return code
+        async with connected(parse_address(options.connect), secret) as store:
+            return run(store, options)
     except TimeoutError:
         print(f"{options.connect}: no replica answered in {WAIT_S:g} s", file=sys.stderr)
         return 1
-    finally:
-        await replica.stop()
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/sageturn/store/replica.py
+++ b/sageturn/store/replica.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import logging
+import secrets
 import socket
-from contextlib import suppress
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import Any
 
 from sageturn.core.tasks import end_task
-from sageturn.net.admission import Admission, Newcomer
+from sageturn.net.admission import Admission, Limits, Newcomer
 from sageturn.net.listener import Listener
 from sageturn.net.sockets import Connect, connect
 from sageturn.store.frames import Link, Refused
@@ -144,6 +146,29 @@
             self._store.merge([read_record(obj) for obj in message["records"]])
 
 
+@asynccontextmanager
+async def connected(
+    peer: tuple[str, int], secret: bytes, wait_s: float = 5.0
+) -> AsyncIterator[Store]:
+    """A copy for a moment: all that a running daemon has, and what is written to it is there when this ends.
+
+    Raises TimeoutError when no daemon answers, or has not taken what was written, within ``wait_s``.
+    """
+    store = Store(f"operator-{secrets.token_hex(4)}")
+    options = ReplicaOptions(("127.0.0.1", 0), (peer,), secret, interval_s=0.2)
+    replica = Replica(store, options, Admission(Limits(sockets=1024, memory_mb=192.0)))
+    replica.start()
+    try:
+        async with asyncio.timeout(wait_s):
+            await replica.in_step.wait()
+        yield store
+        replica.in_step.clear()
+        async with asyncio.timeout(wait_s):
+            await replica.in_step.wait()
+    finally:
+        await replica.stop()
+
+
 async def _send_records(link: Link, records: list[Record]) -> None:
     for at in range(0, len(records), PART):
         await link.send({"records": [record.to_json() for record in records[at : at + PART]]})
--- a/tests/rebalance_fleet.py
+++ b/tests/rebalance_fleet.py
@@ -83,7 +83,7 @@
         for _, client, cls, group in due:
             self.comes(client, cls, group)
         self.plan = self.planner.tick(self.now, look(self.balancer, self.now), self.minute)
-        if self.planner.options.mode == "on":
+        if self.plan.phase != "dry-run":
             for move in self.plan.moves:
                 client, cls, group, _ = self.conns[move.request_id]
                 self.moved.append((self.now, client, move.reason))
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,242 @@
+"""The lab's own parts: what its hosts do, and that its runs say the same each time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from math import exp
+from pathlib import Path
+
+import msgspec
+import numpy as np
+import pytest
+
+from sageturn import rules
+from sageturn.lab.compare import compare, difference
+from sageturn.lab.experiment import BadExperiment, Scenario, Size, read_experiment
+from sageturn.lab.host import HostModel
+from sageturn.lab.loopback import deployed
+from sageturn.lab.policy import load_policy, read_policy
+from sageturn.lab.report import markdown, page
+from sageturn.lab.runs import Line, Results
+from sageturn.lab.runs import run as run_experiment
+from sageturn.lab.search import Point, breaks_at, shrink, turned
+from sageturn.lab.simulate import simulate
+from sageturn.lab.spec import Spec
+from sageturn.lab.troubles import KINDS, Trouble
+from sageturn.lab.world import Series, World
+from sageturn.rebalance.options import RebalanceOptions
+
+SMALL = Spec(relays=3, hosts=6, early=4, connections=300, life_s=300.0, join_s=5.0)
+
+
+def host(**more: float) -> HostModel:
+    return HostModel("h", "k", 1.0, 100.0, usual_load=1.0, **more)  # type: ignore[arg-type]
+
+
+def test_a_host_slows_as_it_fills_and_pays_once_for_a_group() -> None:
+    full = host()
+    idle_ms = full.set_up_takes_ms(0.0)
+    for _ in range(40):
+        full.add(1.0, "")
+    assert full.set_up_takes_ms(0.0) > 1.5 * idle_ms
+    for _ in range(4):
+        full.add(1.0, "g")
+    assert full.held() == 44.0 + 1.5 and full.groups == 1
+    for _ in range(4):
+        full.remove(1.0, "g")
+    assert full.held() == 40.0
+    for _ in range(60):
+        full.add(1.0, "")
+    assert not full.admits(0.0, 1.0) and not full.fallen
+
+
+def test_a_cold_host_falls_over_when_it_is_sent_too_much_and_only_then() -> None:
+    # 100 over 24 s is its pace; at a start of 12% it may be sent four times 0.5 a second, over 3 s.
+    pushed, spared = host(started_s=0.0), host(started_s=0.0)
+    for k in range(30):
+        pushed.admits(0.1 + k * 0.05, 1.0)
+        spared.admits(0.1 + k * 0.6, 1.0)
+    assert pushed.fallen and not spared.fallen and spared.peak_part < 1.0
+    assert not pushed.admits(60.0, 1.0), "it stays down"
+
+
+def run(mover: str, processes: int = 1, seconds: float = 150.0, spec: Spec = SMALL) -> Series:
+    options = RebalanceOptions(mode="on", part_per_min=0.4)
+    return simulate(spec, mover, options, seconds, processes)
+
+
+def test_a_simulation_does_not_depend_on_how_many_processes_play_it() -> None:
+    one, three = run("on", 1, 60.0), run("on", 3, 60.0)
+    assert one.ratio == three.ratio and one.counts == three.counts
+    assert [h.get_total_count() for h in one.set_ups] == [h.get_total_count() for h in three.set_ups]
+    assert run("on", 1, 60.0, replace(SMALL, seed=2)).ratio != one.ratio
+
+
+def test_the_planner_balances_a_small_fleet_and_keeps_its_promises() -> None:
+    off, on = run("off", 1), run("on", 1)
+    assert sum(on.ratio[-20:]) < sum(off.ratio[-20:]) - 20 * 0.1
+    assert on.counts["moved"] > 0 and off.counts["moved"] == 0
+    assert on.counts["groups_split"] == on.counts["checkin_moved"] == on.fallen == 0
+    assert on.fresh_peak < 1.0
+
+
+def test_real_relays_stand_between_the_stand_ins() -> None:
+    async def go() -> None:
+        spec = Spec(relays=2, hosts=3, early=2, connections=60, life_s=20.0, join_s=0.5)
+        async with deployed(spec, "on", {"tick_s": 0.1}) as deployment:
+            played = await deployment.play(2.0)
+        assert played.syntax == 0 and played.fallen == 0
+        assert played.seen.counts["set_up"] > 0 and played.samples[-1].standing > 30
+        assert played.seen.counts["error"] == played.seen.counts["unanswered"] == 0
+        assert all(state["mode"] == "on" for state in played.states)
+
+    asyncio.run(asyncio.wait_for(go(), 40))
+
+
+# ---------------------------------------------------------------- days, experiments, comparisons
+
+
+def day(*troubles: Trouble, seconds: float = 40.0, seed: int = 1, **more: object) -> Series:
+    size = Size(connections=300, hosts=6, relays=2, room=2.4, **more)  # type: ignore[arg-type]
+    spec = size.spec(seed)
+    return simulate(spec, "off", RebalanceOptions(), seconds, troubles=troubles)
+
+
+@pytest.mark.parametrize("kind", list(KINDS))
+def test_each_trouble_does_harm_of_its_own_and_is_over(kind: str) -> None:
+    calm = day()
+    struck = day(Trouble(kind, 10.0, 8.0, 0.5, 4.0))
+    seen = struck.counts
+    assert struck.wanted[4] == calm.wanted[4], "nothing is seen of it before it begins"
+    if kind == "slow":
+        assert struck.service() < calm.service() - 0.02
+    elif kind == "store":
+        assert sum(seen[f"late_{c}"] for c in ("departures", "guest-checkin")) > 0 or seen["refused"] > 0
+    elif kind in ("burst", "beyond"):
+        # Four times the arrivals for a fifth of the day, of all clients or of a member with 27% of them.
+        assert seen["asked"] > calm.counts["asked"] * (1.3 if kind == "burst" else 1.08)
+    elif kind == "reconnect":
+        assert seen["dropped"] > 80
+    elif kind in ("vanish", "restart", "relays"):
+        assert seen["cut"] > 50
+    elif kind == "drain":
+        assert seen["cut"] < 50 and struck.fills[-1].count(-1.0) == 3
+    else:
+        assert seen["asked"] >= calm.counts["asked"] * 0.9
+    assert sum(struck.wanted[-1]) > 0.7 * sum(struck.wanted[5])
+
+
+def test_message_times_are_those_of_a_queue() -> None:
+    # M/M/1: a message stays longer than t with the chance exp(-(1 - load) t / service time).
+    world = World(replace(Spec(), early=12, join_s=1e9), (), 0.5)
+    some = next(iter(world.hosts.values()))
+    some.add(some.capacity / 2.0, "")
+    parts = world._in_time(some, 0.0)
+    cls = world.spec.classes[1]
+    assert parts[1][0] == pytest.approx(1.0 - exp(-0.5 * cls.message_ms / (6.0 / some.size)))
+    some.add(some.capacity, "")
+    some.pile_up(0.5, 0.5)
+    assert some.piled_s == pytest.approx(0.25) and world._in_time(some, 0.5)[1][0] == 0.0
+
+
+EXPERIMENT = """
+name = "two"
+why = "a test"
+seeds = [1, 2]
+[[variants]]
+name = "present"
+[[variants]]
+name = "again"
+[[scenarios]]
+name = "slow"
+seconds = 20
+size = {connections = 100, hosts = 4, relays = 1}
+troubles = [{kind = "slow", start_s = 5, length_s = 10, part = 0.5, strength = 4}]
+"""
+
+
+def written(folder: Path, old: str = "", new: str = "") -> Path:
+    file = folder / "two.toml"
+    file.write_text(EXPERIMENT.replace(old, new) if old else EXPERIMENT)
+    return file
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('kind = "slow"', 'kind = "odd"', "troubles"), ("hosts = 4", "hots = 4", "hots"),
+        ("hosts = 4", 'hosts = "4"', r"size\.hosts"),
+        ('name = "again"', 'name = "present"', r"variants\[1\]\.name"),
+        ("seeds = [1, 2]", "seeds = []", "seeds"), ("part = 0.5", "part = 2", "part"),
+        ('name = "again"', 'name = "x"\nmover = "fast"', r"variants\[1\]\.mover"),
+        ('name = "again"', 'name = "x"\nrebalance = {pace = 1}', r"variants\[1\]\.rebalance\.pace"),
+        ("hosts = 4", "hosts = 4, early = 9", r"scenarios\[0\]\.size\.early"),
+        ("[[variants]]", "[[", "two.toml"),
+    ],
+)  # fmt: skip
+def test_a_bad_experiment_names_its_key(tmp_path: Path, old: str, new: str, key: str) -> None:
+    with pytest.raises(BadExperiment, match=key):
+        read_experiment(written(tmp_path, old, new))
+
+
+def test_an_interrupted_run_leaves_whole_results_and_goes_on(tmp_path: Path) -> None:
+    experiment, out = read_experiment(written(tmp_path)), tmp_path / "out.jsonl"
+
+    def stop(line: Line, number: int, total: int) -> None:
+        if number == 2:
+            raise KeyboardInterrupt
+
+    with pytest.raises(KeyboardInterrupt):
+        run_experiment(experiment, out, tmp_path, 2, stop)
+    kept = out.read_bytes()
+    out.write_bytes(kept + b'{"scenario": "slo')  # and the last line was cut short
+    results = run_experiment(experiment, out, tmp_path, 2, lambda *_: None)
+    assert len(results.runs) == 4 and out.read_bytes().startswith(kept)
+    assert len(Results(out).runs) == 4
+    same = results.values("present", "goal"), results.values("again", "goal")
+    assert same[0] == same[1], "variants meet the same days"
+    (gap, slow) = compare(results, "present", "again", "goal")
+    assert gap.mean == 0.0 and not gap.settled and slow.scenario == "slow"
+    assert "| slow | present | 2 |" in markdown(results) and "data:image/png" in page(results)
+    other = msgspec.structs.replace(experiment, seeds=(7,))
+    with pytest.raises(ValueError, match="another experiment"):
+        run_experiment(other, out, tmp_path, 1, lambda *_: None)
+
+
+def test_differences_come_with_the_interval_that_chance_leaves() -> None:
+    rng = np.random.default_rng(1)
+    base = rng.normal(0.5, 0.1, 40)
+    clear = difference("m", "", np.column_stack([base, base + 0.02 + rng.normal(0, 0.01, 40)]))
+    assert clear.settled and clear.low < 0.02 < clear.high
+    noise = difference("m", "", np.column_stack([base, base + rng.normal(0, 0.05, 40)]))
+    assert not noise.settled and noise.more_pairs > 40
+    few = difference("m", "", np.column_stack([base[:3], base[:3] + [0.01, 0.0, 0.02]]))
+    assert few.low < 0.0 < few.high, "three days settle little"
+
+
+def test_a_policy_from_a_file_is_played(tmp_path: Path) -> None:
+    text = Path(rules.__file__).read_text().replace("LIMIT_START = 8", "LIMIT_START = 1")
+    (tmp_path / "other.py").write_text(text)
+    other = load_policy(read_policy("other.py", tmp_path))
+    assert other is not rules.Balancer and other.handle is not rules.Balancer.handle
+    with pytest.raises(ValueError, match="gone.py"):
+        read_policy("gone.py", tmp_path)
+
+
+def test_a_sweep_finds_where_it_breaks_and_a_hunt_makes_days_small() -> None:
+    points = [Point(v, 1.0 - v) for v in (0.0, 0.4, 0.8)]
+    at = breaks_at(points, 0.5, lambda v: 1.0 - v)
+    assert at == pytest.approx(0.5, abs=0.01) and breaks_at(points, 2.0, lambda v: 0.0) is None
+    guilty = Trouble("slow", 5.0, 16.0, 0.4, 4.0)
+    whole = Scenario("d", Size(), 40.0, (Trouble("burst", 1.0, 5.0), guilty, Trouble("flap", 1.0, 5.0)))
+
+    def loses(day: Scenario) -> float:
+        return max((t.length_s / 16.0 for t in day.troubles if t.kind == "slow"), default=0.0)
+
+    small = shrink(whole, loses, 0.5, lambda told: None)
+    (left,) = small.troubles
+    assert left.kind == "slow" and left.length_s == 8.0 and left.strength < 4.0
+    assert turned(whole, "strength", 2.0).troubles[0].strength == 2.0
+    with pytest.raises(ValueError, match="nonsense"):
+        turned(whole, "nonsense", 1.0)
--- /dev/null
+++ b/tests/test_overrides_relay.py
@@ -0,0 +1,292 @@
+"""Overrides in running relays: set by the command, obeyed by all, and what operators are shown."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import pytest
+from net_peers import (
+    Discovery,
+    Endpoint,
+    Script,
+    ask,
+    chunked,
+    first_line,
+    listed,
+    reply,
+    served,
+    up,
+    write_config,
+)
+from test_overrides import KEYS, op, out, record
+
+from sageturn.cli.times import parse_until, span
+from sageturn.config import ConfigError, load
+from sageturn.overrides.ops import Body, Op, Selector
+from sageturn.rebalance.options import RebalanceOptions
+from sageturn.relay import Relay
+
+HOUR = 3_600_000.0
+
+
+def story(coro):  # type: ignore[no-untyped-def]
+    return asyncio.run(asyncio.wait_for(coro, 40))
+
+
+def now() -> float:
+    return time.time() * 1000.0
+
+
+def said(override: str, body: Body, **more: Any) -> Op:
+    at = now()
+    return op(override, body, **{"at_ms": at, "until_ms": at + HOUR, **more})
+
+
+def public(name: str) -> str:
+    from base64 import b64encode
+
+    from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat
+
+    return b64encode(KEYS[name].public_key().public_bytes(Encoding.Raw, PublicFormat.Raw)).decode()
+
+
+def section(**more: Any) -> dict[str, Any]:
+    return {"operators": {name: public(name) for name in KEYS}, "floor_all": 0, "floor_zone": 0, **more}
+
+
+@asynccontextmanager
+async def overriding(folder: Path, *scripts: Script, relays: int = 1, **more: Any):  # type: ignore[no-untyped-def]
+    """Relays whose stores are linked, and the endpoints that they share, in the order a, b, c."""
+    endpoints = [Endpoint(script) for script in scripts]
+    async with AsyncExitStack() as stack:
+        for endpoint in endpoints:
+            await stack.enter_async_context(served(endpoint))
+        names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
+        discovery = Discovery(chunked(listed(names, 2)))
+        await stack.enter_async_context(served(discovery))
+        (folder / "secret").write_text("word")
+        made: list[Relay] = []
+        for number in range(relays):
+            place = folder / f"r{number}"
+            place.mkdir(exist_ok=True)
+            peers = ["{}:{}".format(*made[0].replica.address)] if made else []
+            store = {"path": "store", "listen": "127.0.0.1:0", "peers": peers, "secret_file": "../secret"}
+            file = place / "operator.json"
+            file.write_text(json.dumps({"store": {**store, "interval_s": 0.1}, "overrides": section(**more)}))
+            env = {"GW_CONFIG": str(write_config(place, discovery.address, listed(names), name=f"n{number}"))}
+            relay = Relay(load(env, str(file)), partial(load, env, str(file)))
+            relay.start()
+            stack.push_async_callback(relay.stop)
+            made.append(relay)
+        for relay in made:
+            while relay.destinations.version != 2:
+                await asyncio.sleep(0.01)
+        yield made, endpoints
+
+
+async def until(what) -> None:  # type: ignore[no-untyped-def]
+    while not what():
+        await asyncio.sleep(0.01)
+
+
+async def placed(relay: Relay, endpoints: list[Endpoint], count: int = 12, more: str = "") -> list[int]:
+    """How many of ``count`` requests each endpoint was sent."""
+    before = [len(e.lines) for e in endpoints]
+    for n in range(count):
+        reader, writer = await ask(relay.listener.address, first_line(more=more, key=f"p{n}"))
+        assert (await reader.readline()).startswith(b"UP")
+        writer.close()
+    return [len(e.lines) - was for e, was in zip(endpoints, before, strict=True)]
+
+
+def test_every_relay_obeys_and_a_split_loses_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with overriding(tmp_path, up, up, up, relays=2) as (relays, endpoints):
+            one, two = relays
+            one.store.put(*record(said("o1", out("a"))))
+            two.store.put(*record(said("o2", out("b"), operator="mai")))
+            for relay in relays:
+                await until(lambda relay=relay: relay.destinations.out("a") and relay.destinations.out("b"))
+                assert (await placed(relay, endpoints))[:2] == [0, 0]
+            told = lambda: (one.store.get("state/n1/overrides") or {}).get("words")  # noqa: E731
+            await until(lambda: told() == {"o1": 1, "o2": 1})
+            two.store.put(*record(said("o1", None, word="revoke", revision=2)))  # type: ignore[arg-type]
+            await until(lambda: not one.destinations.out("a"))
+            assert not one.destinations.ready("b") and one.destinations.ready("a")
+
+    story(go())
+
+
+def test_a_strict_pin_without_its_host_fails_fast_and_a_preferred_one_goes_elsewhere(
+    tmp_path: Path,
+) -> None:
+    async def go() -> None:
+        async with overriding(tmp_path, up, up, floor_pin=0) as ((relay,), endpoints):
+            pin = said("p1", Body("pin", hosts=("b",), strict=True, tenant="t"))
+            relay.store.put(*record(pin))
+            await until(lambda: relay.overrides.board.known)
+            assert await placed(relay, endpoints) == [0, 12]
+            relay.store.put(*record(said("o1", out("b"))))
+            await until(lambda: relay.destinations.out("b"))
+            began = asyncio.get_running_loop().time()
+            assert (await reply(relay.listener.address, first_line())).startswith(b"BUSY")
+            assert asyncio.get_running_loop().time() - began < 0.2
+            relay.store.put(*record(said("p1", None, word="revoke", revision=2)))  # type: ignore[arg-type]
+            relay.store.put(*record(said("p2", Body("pin", hosts=("b",), tenant="t"))))
+            await until(lambda: relay.overrides.board.known["p1"].revoked)
+            assert await placed(relay, endpoints) == [12, 0]
+            relay.store.put(*record(said("o1", None, word="revoke", revision=2)))  # type: ignore[arg-type]
+            await until(lambda: not relay.destinations.out("b"))
+            assert sum(await placed(relay, endpoints)) == 12  # b is cold again: most go elsewhere for now
+
+    story(go())
+
+
+def test_a_host_that_is_cleared_is_emptied_at_the_planners_pace(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sageturn.rebalance.pace.SETTLE_MS", 0.0)
+    monkeypatch.setattr("sageturn.rebalance.pace.Pace.top", lambda self, own: 400.0)
+
+    async def go() -> None:
+        async with overriding(tmp_path, up, up) as ((relay,), (a, b)):
+            relay.rebalancer.options = RebalanceOptions(tick_s=0.05, back_within_s=0.1)
+            clients = [
+                await ask(relay.listener.address, first_line(more=",at=a", key=f"k{n}")) for n in range(6)
+            ]
+            for reader, _ in clients:
+                assert await reader.readline() == b"UP r1\r\n"
+            relay.store.put(*record(said("o1", out("a", move_off=True))))
+            for reader, writer in clients:
+                assert await reader.read() == b"MOVE\r\n"
+                writer.close()
+            assert relay.rebalancer.options.mode == "off" and relay.rebalancer.counts["moved"] == 6
+
+    story(go())
+
+
+def test_a_relay_killed_before_it_acted_obeys_from_its_first_moment_on(tmp_path: Path) -> None:
+    async def go() -> None:
+        for turn in range(2):
+            async with overriding(tmp_path, up, up) as ((relay,), endpoints):
+                if turn == 0:
+                    # It never hears of them: killed between the write and its effect.
+                    relay.store.on_change.remove(relay.overrides.changed)
+                    relay.store.put(*record(said("o1", out("a"))))
+                    relay.store.put(*record(said("o2", out("b"), at_ms=now() - 5000, until_ms=now() - 1)))
+                else:
+                    assert relay.destinations.out("a") and not relay.destinations.out("b")
+                    assert await placed(relay, endpoints) == [0, 12]
+
+    story(go())
+
+
+def test_sighup_takes_an_operators_key_away_and_a_faulty_one_changes_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with overriding(tmp_path, up, up) as ((relay,), _):
+            relay.store.put(*record(said("o1", out("a"))))
+            await until(lambda: relay.destinations.out("a"))
+            file = tmp_path / "r0" / "operator.json"
+            good = json.loads(file.read_text())
+            file.write_text(json.dumps({**good, "overrides": {"operators": {"lan": "short"}}}))
+            relay._reload.set()
+            await until(lambda: not relay._reload.is_set())
+            assert relay.destinations.out("a")
+            file.write_text(json.dumps({**good, "overrides": section(operators={"mai": public("mai")})}))
+            relay._reload.set()
+            await until(lambda: not relay.destinations.out("a"))
+            file.write_text(json.dumps(good))
+            relay._reload.set()
+            await until(lambda: relay.destinations.out("a"))
+
+    story(go())
+
+
+def test_the_command_sets_shows_extends_and_revokes(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with overriding(tmp_path, up, up, up, relays=2, floor_all=0.5) as (relays, _):
+            common = {
+                "SAGETURN_CONNECT": "{}:{}".format(*relays[0].replica.address), "SAGETURN_OPERATOR": "lan",
+                "SAGETURN_SECRET_FILE": str(tmp_path / "secret"),
+                "SAGETURN_KEY_FILE": str(tmp_path / "key.pem"),
+            }  # fmt: skip
+
+            async def command(*words: str, fails: int = 0, **env: str) -> str:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "sageturn.cli.main", "override", *words, stdout=-1, stderr=-1,
+                    env={**os.environ, **common, **env},
+                )  # fmt: skip
+                told, wrong = await process.communicate()
+                assert process.returncode == fails, (words, told, wrong)
+                return (told if not fails else wrong).decode()
+
+            nobody = asyncio.ensure_future(command("list", fails=3, SAGETURN_CONNECT="127.0.0.1:1"))
+            public_key = (await command("key", str(tmp_path / "key.pem"))).strip()
+            assert (tmp_path / "key.pem").stat().st_mode & 0o77 == 0
+            await until(lambda: all(r.store.get("state/n1/overrides") for r in relays))
+            refused = await command("set", "out", "--host", "a", "--for", "2h30m", "--why", "disk", fails=1)
+            assert "refuses it: signature" in refused, "the name is checked, not taken on trust"
+            for number, relay in enumerate(relays):
+                file = tmp_path / f"r{number}" / "operator.json"
+                content = json.loads(file.read_text())
+                content["overrides"]["operators"]["lan"] = public_key
+                file.write_text(json.dumps(content))
+                relay._reload.set()
+            await until(lambda: all("lan" in r._config.operator.overrides.operators for r in relays))
+            await until(lambda: all(not r._reload.is_set() for r in relays))
+            set_ = ("set", "out", "--host", "a", "--for", "2h30m", "--why", "disk is failing", "--json")
+            made = json.loads(await command(*set_))
+            assert made["relays"] == {"n0": "in force", "n1": "in force"}
+            assert all(r.destinations.out("a") for r in relays)
+            too_much = await command("set", "out", "--host", "b", "--for", "1h", "--why", "x", fails=1)
+            assert "would leave 1.0 of 3.0" in too_much and "--force" in too_much
+            (row,) = [r for r in json.loads(await command("list", "--json")) if r["status"] == "in force"]
+            assert row["set_by"] == "lan" and row["left"].startswith("2h") and row["why"] == "disk is failing"
+            await command("extend", made["id"], "--for", "10m", "--why", "sooner")
+            assert "about to end" in await command("list")
+            assert "out of service" in await command("explain", "a")
+            await command("revoke", made["id"], "--why", "mended")
+            assert not any(r.destinations.out("a") for r in relays)
+            words = [r["word"] for r in json.loads(await command("history", made["id"], "--json"))]
+            assert words == ["set", "extend", "revoke"]
+            never = "2999-01-01T00:00:00"
+            unknown, zoneless, _ = await asyncio.gather(
+                command("show", "out-nope", fails=4),
+                command("set", "hold", "--host", "a", "--until", never, "--why", "x", fails=2),
+                nobody,
+            )
+            assert "no such override" in unknown and "has no zone" in zoneless
+
+    story(go())
+
+
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"floor_all": 2}, "floor_all"), ({"operators": {"x": "??"}}, "operators.x"),
+        ({"longest": 1}, "longest"), ({"operators": {"x": 5}}, "operators.x"),
+        ({"longest_s": 0}, "longest_s"),
+    ],
+)  # fmt: skip
+def test_faults_in_its_section_name_their_key(tmp_path: Path, change: dict[str, Any], key: str) -> None:
+    (tmp_path / "operator.json").write_text(json.dumps({"overrides": change}))
+    file = write_config(tmp_path, ("127.0.0.1", 1))
+    with pytest.raises(ConfigError, match=f"operator.overrides.{key}"):
+        load({"GW_CONFIG": str(file)}, str(tmp_path / "operator.json"))
+
+
+def test_times_as_people_write_them() -> None:
+    assert parse_until("2h30m", 0.0) == 2.5 * HOUR and parse_until("1d", 0.0) == 24 * HOUR
+    assert parse_until("1970-01-01T08:00:00+07:00", 0.0) == HOUR
+    for bad in ("", "soon", "0s", "-1h", "1970-01-01T00:00:00Z", "2999-01-01T00:00:00"):
+        with pytest.raises(ValueError):
+            parse_until(bad, 1.0)
+    assert span(2.5 * HOUR) == "2h 30m" and span(0) == "0s" and Selector("host", "a").what == "host"
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -10,7 +10,7 @@
 from rebalance_fleet import Fleet
 
 from sageturn import Note, Outcome, Server, ServerList
-from sageturn.core.hosts import look
+from sageturn.core.hosts import Marks, look
 from sageturn.rebalance.clients import Clients
 from sageturn.rebalance.options import RebalanceOptions
 
@@ -390,3 +390,28 @@
     fleet = skewed()
     fleet.tell(Outcome(99999, 0, "a", "reset", True))
     assert len(fleet.planner.book) == len(fleet.conns)
+
+
+def test_a_held_host_gives_and_takes_nothing() -> None:
+    fleet = skewed()
+    fleet.planner.marks = Marks(held=frozenset("a"))
+    fleet.run(90)
+    assert not any(why.startswith("a at") for _, _, why in fleet.moved)
+    other = skewed()
+    other.planner.marks = Marks(held=frozenset("bc"))
+    before = other.held()
+    other.run(90)
+    assert other.moved and other.held()["d"] > before["d"]
+    assert (other.held()["b"], other.held()["c"]) == (before["b"], before["c"])
+
+
+def test_a_cleared_host_is_emptied_whoever_is_on_it_and_a_large_group_in_parts() -> None:
+    fleet = Fleet("abcd", {"mode": "off", "part_per_min": 1.0, "burst": 6})
+    fleet.stands("a", 20, "whale")
+    fleet.stands("a", 5, cls="guest-checkin")
+    fleet.stands("b", 25, "x")
+    fleet.tell(ServerList("changes", [Server("a", state="draining")]))
+    fleet.planner.marks = Marks(out=frozenset("a"), cleared=frozenset("a"))
+    fleet.run(150)
+    assert fleet.held()["a"] == 0 and len(fleet.moved) == 25
+    assert all("cleared by an operator" in why for _, _, why in fleet.moved)
--- a/tests/test_rebalance_relay.py
+++ b/tests/test_rebalance_relay.py
@@ -110,7 +110,7 @@
         async with relaying(tmp_path, up, operator=ON) as (relay, _):
             monkeypatch.setattr(relay.rebalancer, "after", fails)
             reader, writer = await ask(relay.listener.address, first_line())
-            assert await reader.readline() == b"UP r1\r\n" and relay.module.companion is None
+            assert await reader.readline() == b"UP r1\r\n" and relay.module.companions == []
             monkeypatch.setattr(relay.rebalancer, "tick", fails)
             await until(lambda: relay.rebalancer.options.mode == "off")  # type: ignore[union-attr]
             writer.write(b"M 1\r\n")
