--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -18,8 +18,9 @@
 )  # fmt: skip
 
 LIMIT_START = 8  # pending connections a server is trusted with before it has shown anything
+SHARED_TOP = 4000  # pending connections with which all balancers together trust all servers, at the most
 LIMIT_TOP = 32  # growth stops here, or a long quiet spell would make depth blind
-BLIND_TOP = 16  # limits at most that count for servers on which we hold nothing
+BLIND_TOP = 2  # of the servers on which we hold nothing, the first limits of so many count at most
 CURVE_STEPS = 64  # cells of the curve's table
 FREE_DEPTH = 0.25  # below this depth nobody is throttled
 CURVE_TOP = 4.0  # refill just past the free part, in fair shares of the tenants' allowances
@@ -73,7 +74,7 @@
 class _Server:
     """What this balancer knows of one server."""
 
-    def __init__(self, line: Server) -> None:
+    def __init__(self, line: Server, limit: int = LIMIT_START) -> None:
         self.name, self.zone, self.cell = line.name, line.zone, line.cell
         self.spare: list[float] = []  # when our connections here became idle
         self.pooled = False  # among the servers where we have idle ones
@@ -81,7 +82,7 @@
         self.kind, self.state = line.kind, line.state
         self.started_ms = line.started_at_ms
         self.open = 0  # own connections, pending ones too
-        self.pending, self.limit = 0, LIMIT_START
+        self.pending, self.limit = 0, limit
         self.fresh = True  # none of our connections has stood since it (re)started
         self.ready = False  # listed ready and not put out
         self.fails = 0
@@ -151,7 +152,7 @@
         self.open = 0  # own connections, pending ones too
         self.sharers: float = settings.balancers  # balancers that share what one server can hold
         self.spare: list[_Server] = []  # servers where we have idle connections
-        self.first_listed = 0  # servers in the first list: the fleet that the quotas are meant for
+        self.first_listed, self.top = 0, LIMIT_TOP  # the fleet that the quotas are meant for; a limit's bound
         self.held = {t.name: 0 for t in settings.tenants}  # the same by tenant
         # What a tenant may hold at one balancer before it is beyond its share.
         self.fill = {t.name: t.quota_connections * OVER / settings.balancers for t in settings.tenants}
@@ -191,11 +192,8 @@
     # ------------------------------------------------------------ 1 depth
 
     def _depth(self) -> float:
-        """Pending over limits, summed across ready servers; 1 where none is ready.
-
-        Where we hold nothing on most servers these tell nothing, and would hide how the few are that we know.
-        """
-        limits = self.sum_limits + min(self.sum_blind, BLIND_TOP)
+        """Pending over limits, summed across ready servers; 1 where none is ready."""
+        limits = self.sum_limits + min(self.sum_blind, BLIND_TOP * min(LIMIT_START, self.top))
         return min(1.0, self.sum_pending / limits) if limits else 1.0
 
     def _sum(self, s: _Server) -> None:
@@ -238,7 +236,7 @@
                 self.ranked.pop(group, None)
 
     def _set_limit(self, s: _Server, limit: int) -> None:
-        s.limit = max(1, min(LIMIT_TOP, limit))
+        s.limit = max(1, min(self.top, limit))
         self._sum(s)
 
     # Connections load a server long after they were accepted, which pending does not show. One whose
@@ -699,13 +697,14 @@
                     s.state = "gone"
         if not self.first_listed and e.servers:
             self.first_listed = len(e.servers)
+            self.top = max(1, min(LIMIT_TOP, SHARED_TOP // (self.first_listed * self.settings.balancers)))
             # No more balancers can hold something on one server than it has connections.
             if self.quota:
                 self.sharers = min(self.settings.balancers, max(1.0, self.quota / self.first_listed))
         for line in e.servers:
             known = self.servers.get(line.name)
             if known is None:
-                known = self.servers[line.name] = _Server(line)
+                known = self.servers[line.name] = _Server(line, min(LIMIT_START, self.top))
                 if e.kind == "stale":
                     known.fresh = now_ms - line.started_at_ms < self.settings.warm_within_ms
             elif line.state != "gone":
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -415,3 +415,16 @@
     fleet.run(150)
     assert fleet.held()["a"] == 0 and len(fleet.moved) == 25
     assert all("cleared by an operator" in why for _, _, why in fleet.moved)
+
+
+def test_one_that_another_relay_may_have_moved_is_left_alone() -> None:
+    fleet = Fleet("ab", {**QUICK, "again_s": 100.0}, groups=False)
+    fleet.stands("b", 4)
+    for number in range(30):
+        fleet.comes(f"back{number}", returned=True)
+    for request_id in fleet.on("b"):
+        fleet.ends(request_id)
+    fleet.run(80)
+    assert fleet.moved == [] and fleet.plan.phase in ("waiting", "balanced")
+    fleet.run(120)
+    assert fleet.moved, "their time is over"
