Keep the pace of rebalancing where many relays share a zone; put the store's commands into sageturn

Need: in simulated time fleets of 300 and 1,000 hosts came to balance at a tenth of their pace. A floor of a tenth under the part of the moved that usually come back to the same relay is wrong where it is one in 50: their absence was read as harm. And operators had two commands.

Change: the floor is half of what chance brings back. `sageturn store` takes the place of `python -m sageturn.store`.

--- a/sageturn/cli/main.py
+++ b/sageturn/cli/main.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+from importlib.util import find_spec
+
 import typer
 
-from sageturn.cli import lab, override
+from sageturn.cli import override, store
 
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False, help="A relay, and what runs it.")
 app.add_typer(override.app, name="override")
-app.add_typer(lab.app, name="lab")
+app.add_typer(store.app, name="store")
+# The laboratory has an extra of its own, which an operator's desk need not have.
+if all(find_spec(name) for name in ("hdrh", "msgspec", "numpy", "scipy")):
+    from sageturn.cli import lab
+
+    app.add_typer(lab.app, name="lab")
 
 
 @app.callback()
--- a/sageturn/rebalance/planner.py
+++ b/sageturn/rebalance/planner.py
@@ -273,7 +273,8 @@
         sharers = max(1.0, st.balancers / len(zones)) if by_zone else float(st.balancers)
         if zones != self._zones:
             # Clients come back through their zone's relays: alone there, all of them are seen again.
-            self._zones, self.signs.usual_back = zones, 1.0 / max(1.0, st.balancers / max(1, len(zones)))
+            self._zones = zones
+            self.signs.expect_back(1.0 / max(1.0, st.balancers / max(1, len(zones))))
         self.balances = weigh(self.book, hosts, sharers, by_zone, st.groups)
         self._ratios = {fill.name: fill.ratio for balance in self.balances for fill in balance.fills}
 
--- a/sageturn/rebalance/signs.py
+++ b/sageturn/rebalance/signs.py
@@ -27,7 +27,7 @@
     """``usual_back``: the part of moved clients that come back to this relay, others meet another one."""
 
     def __init__(self, usual_back: float) -> None:
-        self.usual_back = usual_back
+        self.expect_back(usual_back)
         self.seen: Counter[str] = Counter()  # ticks at which each sign was there
         self._asked, self._set_up, self._late = Fading(RECENT_MS), Fading(RECENT_MS), Fading(RECENT_MS)
         self._refused, self._reset = Fading(RECENT_MS), Fading(RECENT_MS)
@@ -38,6 +38,12 @@
         self._draining_ms: dict[str, float] = {}
         self._lost_ms = float("-inf")
 
+    def expect_back(self, part: float) -> None:
+        """Where there are so many relays that this part of the moved come back here, if it goes by chance."""
+        self.usual_back = part
+        # Bounded below: were it to fall with every outage, the last would not be seen.
+        self._least_back = part / 2.0
+
     # ------------------------------------------------------------ events
 
     def asked(self, now_ms: float) -> None:
@@ -67,8 +73,7 @@
     def not_back(self, now_ms: float, clients: int) -> None:
         if clients:
             self._not_back.add(now_ms, clients)
-            # Bounded below: were it to fall with every outage, the last would not be seen.
-            self.usual_back = max(0.1, self.usual_back * (1.0 - USUAL_NEW) ** clients)
+            self.usual_back = max(self._least_back, self.usual_back * (1.0 - USUAL_NEW) ** clients)
 
     # ------------------------------------------------------------ reading
 
--- a/tests/test_rebalance.py
+++ b/tests/test_rebalance.py
@@ -11,8 +11,11 @@
 
 from sageturn import Note, Outcome, Server, ServerList
 from sageturn.core.hosts import Marks, look
+from sageturn.rebalance.book import Book
 from sageturn.rebalance.clients import Clients
 from sageturn.rebalance.options import RebalanceOptions
+from sageturn.rebalance.pace import Sign
+from sageturn.rebalance.signs import Signs
 
 QUICK = {"part_per_min": 0.5, "least_age_s": 2.0}
 
@@ -428,3 +431,19 @@
     assert fleet.moved == [] and fleet.plan.phase in ("waiting", "balanced")
     fleet.run(120)
     assert fleet.moved, "their time is over"
+
+
+def test_that_most_come_back_at_other_relays_is_no_harm_where_there_are_many() -> None:
+    # With 50 relays one in 50 comes back here; a floor of a tenth took that for an outage, and held the pace.
+    signs, book, now = Signs(1.0 / 50.0), Book(), 0.0
+    for number in range(2000):
+        now += 40.0
+        if number % 50 == 0:
+            signs.back(now)
+        else:
+            signs.not_back(now, 1)
+        assert Sign.NOT_BACK not in signs.read(now, book, ())
+    for _ in range(1000):
+        now += 40.0
+        signs.not_back(now, 1)
+    assert Sign.NOT_BACK in signs.read(now, book, ()), "none at all is harm"
