--- a/sageturn/overrides/resolve.py
+++ b/sageturn/overrides/resolve.py
@@ -176,7 +176,11 @@
                     self._hosts_by.setdefault(key, {})[server.name] = server
                 self._count(server, 1)
             touched.add(server.name)
-        changed = self._see(name for name in touched if name in self.hosts)
+        here = touched & self.hosts.keys()
+        if len(here) > len(self.overrides):
+            # Most hosts are touched by no override: it is quicker to go by these.
+            here &= {s.name for o in self.overrides.values() for s in self._covered(o)} | self.effects.keys()
+        changed = self._see(here)
         if any(self._takes(o) for o in self.overrides.values()):
             changed = self.weigh_all() | changed  # the floors may hold no longer, or hold again
         return changed
--- a/sageturn/rebalance/planner.py
+++ b/sageturn/rebalance/planner.py
@@ -98,8 +98,8 @@
 
     def before(self, now_ms: float, event: api.Event) -> None:
         """Says to the module, in the request itself, that its client was moved for balance just now."""
-        if not isinstance(event, api.Request):
-            return
+        if not isinstance(event, api.Request) or not len(self.clients):
+            return  # while nobody was moved there is nothing to say
         client = client_number(event.client)
         moved = self.clients.last_move(client)
         if moved is not None and moved.by_plan:
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -111,6 +111,10 @@
     desk.say(op("o1", Body("out", Selector("zone", "z2"))))
     desk.list([host("e")], whole=False)
     assert desk.state("e") == "draining"
+    desk.list([host(n) for n in "abcdefg"])
+    assert [n for n in "abcdefg" if desk.state(n) == "draining"] == list("cdefg")
+    desk.list([host(n, zone="z3") for n in "abcdefg"])
+    assert not [n for n in "abcdefg" if desk.state(n) == "draining"]
 
 
 def test_a_host_that_leaves_and_returns_under_its_name_is_still_meant() -> None:
