Take out what nothing uses, and serve the tests' endpoints in one place

Need: reading the whole change again showed a method of the laboratory, a switch and a closing of its discovery, and an override's instant of revocation that nothing used; a tick's state hidden among the planner's counts; and five lines that stood in three test modules.

Change: these are gone; the state is a field of its own; `serve_all` in the tests' peers serves the endpoints. Behaviour is as it was, but that the planner's told counts no longer leave anything out.

--- a/sageturn/lab/standins.py
+++ b/sageturn/lab/standins.py
@@ -161,12 +161,11 @@
 
 @dataclass
 class DiscoverySocket:
-    """Tells the list, and each change of it to all who watch. ``down``: it answers 503."""
+    """Tells the list, and each change of it to all who watch."""
 
     entries: Callable[[], list[dict[str, Any]]]
     address: tuple[str, int] = ("127.0.0.1", 0)
     version: int = 1
-    down: bool = False
     _watchers: set[asyncio.StreamWriter] = field(default_factory=set)
     _server: asyncio.Server | None = None
 
@@ -190,17 +189,9 @@
         for writer in list(self._watchers):
             writer.write(b"%x\r\n%s\r\n" % (len(line), line))
 
-    def close_watches(self) -> None:
-        for writer in list(self._watchers):
-            writer.close()
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):  # it ends with the lab
             await reader.readuntil(b"\r\n\r\n")
-            if self.down:
-                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                writer.close()
-                return
             line = json.dumps(self.whole()).encode() + b"\n"
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             writer.write(b"%x\r\n%s\r\n" % (len(line), line))
--- a/sageturn/lab/world.py
+++ b/sageturn/lab/world.py
@@ -52,13 +52,6 @@
     worth: float = 0.0  # worth-seconds asked for, as far as clients are there to ask
     states: dict[int, dict[str, object]] = field(default_factory=dict)  # each planner's, at the end
 
-    def balanced_after_s(self, bound: float, from_s: float) -> float | None:
-        """Seconds from ``from_s`` until the ratio is first under ``bound``; None if it never is."""
-        for second, ratio in enumerate(self.ratio):
-            if second >= from_s and ratio <= bound:
-                return second - from_s
-        return None
-
     def service(self) -> float:
         """Worth of well-served seconds over the worth of all seconds asked for."""
         wanted = float(np.sum(self.wanted))
--- a/sageturn/overrides/model.py
+++ b/sageturn/overrides/model.py
@@ -21,7 +21,6 @@
     until_by: str  # who said so last
     revision: int  # of the last word that counts
     revoked_by: str = ""
-    revoked_ms: float = 0.0
     forced: bool = False
 
     @property
@@ -65,6 +64,5 @@
         until_by=last.operator,
         revision=max(op.revision for op in words),
         revoked_by=revoke.operator if revoke else "",
-        revoked_ms=revoke.at_ms if revoke else 0.0,
         forced=first.forced,
     )
--- a/sageturn/rebalance/planner.py
+++ b/sageturn/rebalance/planner.py
@@ -76,6 +76,7 @@
         self._leaving: set[int] = set()
         self._ratios: dict[str, float] = {}
         self._rest_until_ms, self._rest = 0.0, ("", "")
+        self._late_before = 0  # late returns by the last tick
         self._zones: set[str] = set()
         self.marks = Marks()
         self._set_options(options)
@@ -261,10 +262,8 @@
 
     def _doing_well(self) -> bool:
         """No late return since the last tick."""
-        late = self.counts["back_late"]
-        well = late == self.counts["back_late_seen"]
-        self.counts["back_late_seen"] = late
-        return well
+        before, self._late_before = self._late_before, self.counts["back_late"]
+        return before == self._late_before
 
     def _weigh(self, hosts: Sequence[HostView]) -> None:
         st = self.settings
@@ -400,7 +399,7 @@
             "on_way": len(self.clients.on_way),
             "remembered": len(self.clients),
             "useful": round(self.useful, 2),
-            "counts": {k: v for k, v in sorted(self.counts.items()) if not k.endswith("_seen")},
+            "counts": dict(sorted(self.counts.items())),
             "signs": dict(sorted(self.signs.seen.items())),
             "in_the_way": {block.name.lower(): count for block, count in self.blocks.items()},
         }
--- a/tests/net_peers.py
+++ b/tests/net_peers.py
@@ -6,7 +6,7 @@
 import itertools
 import json
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from functools import partial
 from pathlib import Path
@@ -145,6 +145,18 @@
     return file
 
 
+async def serve_all(
+    stack: AsyncExitStack, endpoints: Sequence[Endpoint]
+) -> tuple[dict[str, tuple[str, int]], Discovery]:
+    """The endpoints by name, in the order a, b, c, and a discovery that lists them as version 2."""
+    for endpoint in endpoints:
+        await stack.enter_async_context(served(endpoint))
+    names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
+    discovery = Discovery(chunked(listed(names, 2)))
+    await stack.enter_async_context(served(discovery))
+    return names, discovery
+
+
 @asynccontextmanager
 async def relaying(
     folder: Path, *scripts: Script, operator: dict[str, Any] | None = None
@@ -154,11 +166,7 @@
     file.write_text(json.dumps(operator or {}))
     endpoints = [Endpoint(script) for script in scripts]
     async with AsyncExitStack() as stack:
-        for endpoint in endpoints:
-            await stack.enter_async_context(served(endpoint))
-        names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
-        discovery = Discovery(chunked(listed(names, 2)))
-        await stack.enter_async_context(served(discovery))
+        names, discovery = await serve_all(stack, endpoints)
         known = listed(names) if names else None
         env = {"GW_CONFIG": str(write_config(folder, discovery.address, known))}
         relay = Relay(load(env, str(file)), partial(load, env, str(file)))
--- a/tests/test_overrides_relay.py
+++ b/tests/test_overrides_relay.py
@@ -14,15 +14,13 @@
 
 import pytest
 from net_peers import (
-    Discovery,
     Endpoint,
     Script,
     ask,
-    chunked,
     first_line,
     listed,
     reply,
-    served,
+    serve_all,
     up,
     write_config,
 )
@@ -67,11 +65,7 @@
     """Relays whose stores are linked, and the endpoints that they share, in the order a, b, c."""
     endpoints = [Endpoint(script) for script in scripts]
     async with AsyncExitStack() as stack:
-        for endpoint in endpoints:
-            await stack.enter_async_context(served(endpoint))
-        names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
-        discovery = Discovery(chunked(listed(names, 2)))
-        await stack.enter_async_context(served(discovery))
+        names, discovery = await serve_all(stack, endpoints)
         (folder / "secret").write_text("word")
         made: list[Relay] = []
         for number in range(relays):
--- a/tests/test_xmpp.py
+++ b/tests/test_xmpp.py
@@ -12,7 +12,7 @@
 import pytest
 import trustme
 from net_peers import SETTINGS as CONF
-from net_peers import Discovery, Endpoint, ask, chunked, first_line, listed, served, write_config
+from net_peers import Endpoint, ask, first_line, listed, serve_all, write_config
 from xmpp_peers import HEADER, Client, Server, echo
 
 from sageturn.config import load
@@ -94,11 +94,7 @@
 
     endpoints = [script(act) for act in acts]
     async with AsyncExitStack() as stack:
-        for endpoint in endpoints:
-            await stack.enter_async_context(served(endpoint))
-        names = {"abcdef"[k]: e.address for k, e in enumerate(endpoints)}
-        discovery = Discovery(chunked(listed(names, 2)))
-        await stack.enter_async_context(served(discovery))
+        names, discovery = await serve_all(stack, endpoints)
         file = write_config(folder, discovery.address, listed(names))
         relay = Relay(load({"GW_CONFIG": str(file)}, str(write_operator(folder, tls, **more))))
         relay.module.placements = []
