--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -75,8 +75,6 @@
     weights: str = "none"  # what ``share`` means: nothing, size, rough size, or size lowered by present load
     groups: bool = False
     price_cross_zone: float = 0.0
-    price_handshake: float = 0.0  # of opening a connection to a server where no idle one can be used again
-    keepalive_ms: float = 0.0  # an idle connection to a server is closed after this
     price_move: float = 0.0
     tells_delay: bool = True  # notes tell how long messages take; else only loads and set-ups show it
 
@@ -89,8 +87,7 @@
         _need(0 < self.cold_from <= 1, "cold_from", "must be above 0 and at most 1")
         _need(self.fall_multiple > 0, "fall_multiple", "must be above 0")
         for field in ("max_retry_after_ms", "connect_timeout_ms", "must_ask_in_ms", "fall_ms",
-                      "warm_within_ms", "price_cross_zone", "price_move", "price_handshake",
-                      "keepalive_ms"):  # fmt: skip
+                      "warm_within_ms", "price_cross_zone", "price_move"):  # fmt: skip
             _need(getattr(self, field) >= 0, field, "must not be negative")
 
 
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -54,8 +54,6 @@
 GROUP_PRIOR = 0.02  # part of all connections that a group is taken to have,
 GROUP_DOUBT = 10.0  # as if seen in so many connections: what a few of our own tell is mostly chance
 RANKED_MOST = 500  # groups whose servers are kept in order: most of those refused are not seen again
-SPARE_PART = 0.9  # of the time that an idle connection is kept: later it may be gone on arrival
-SPARE_MOST = 15  # idle connections remembered a server
 SOFT_HEAVIER = 2.0  # a server that such signs speak against counts as so much heavier: signs, not proof
 WEIGH_MS = 1000.0  # where no delays are told, a server's loads are weighed this often
 SHED_LEAST, SHED_MS, SHED_GROW = 2, 2000.0, 0.3  # resets within so long of each other; room regained a second
@@ -68,6 +66,12 @@
 COLD_EVEN = 4.8  # and few use more, by this over their number: theirs are evenly spaced, not piled by chance,
 COLD_MOST = 2.0  # up to this: servers were seen to take three to four times what so fills them
 
+# Set-ups that all balancers together have out at once, in seconds of the tenants' allowances: the store they
+# share is behind every one of them, and a balancer sees too few of its own to learn what it bears.
+SHARED_S = 3.0
+WINDOW_LEAST = 0.25  # below one, a window makes the time between two set-ups longer by its inverse,
+PAUSE_MOST_MS = 1500.0  # up to this
+
 HELD, PENDING, OPEN = range(3)
 
 
@@ -76,8 +80,6 @@
 
     def __init__(self, line: Server, limit: int = LIMIT_START) -> None:
         self.name, self.zone, self.cell = line.name, line.zone, line.cell
-        self.spare: list[float] = []  # when our connections here became idle
-        self.pooled = False  # among the servers where we have idle ones
         self.hash = crc32(line.name.encode())
         self.kind, self.state = line.kind, line.state
         self.started_ms = line.started_at_ms
@@ -151,7 +153,6 @@
         self.requests: dict[int, _Request] = {}
         self.open = 0  # own connections, pending ones too
         self.sharers: float = settings.balancers  # balancers that share what one server can hold
-        self.spare: list[_Server] = []  # servers where we have idle connections
         self.first_listed, self.top = 0, LIMIT_TOP  # the fleet that the quotas are meant for; a limit's bound
         self.held = {t.name: 0 for t in settings.tenants}  # the same by tenant
         # What a tenant may hold at one balancer before it is beyond its share.
@@ -181,6 +182,9 @@
             falling = (1.0 - depth) / (1.0 - FREE_DEPTH)
             self.curve.append(float("inf") if depth < FREE_DEPTH else fair * CURVE_TOP * falling)
         self.burst = max(BURST_LEAST, fair * 1000.0 * BURST_S)
+        self.window_top = max(1.0, (allowance or UNKNOWN_PER_S) * SHARED_S / settings.balancers)
+        self.window, self.pending, self.pause_ms = self.window_top, 0, 0.0
+        self.settle_ms = min(c.aim_ms for c in settings.classes)
         self.buckets: dict[str, list[float]] = {t.name: [self.burst, 0.0] for t in settings.tenants}
         self.buckets.setdefault("", [self.burst, 0.0])  # tenants that the settings do not name
 
@@ -213,6 +217,7 @@
 
     def _count(self, s: _Server, pending: int, opened: int) -> None:
         s.pending += pending
+        self.pending += pending
         s.open += opened
         self._sum(s)
 
@@ -273,6 +278,23 @@
             for s in list(self.closed.values()):
                 self._review(now_ms, s)
 
+    def _settled(self, now_ms: float, took_ms: float, served: bool) -> None:
+        """A set-up has ended: the window of all of ours grows by one in time, and halves when it was late."""
+        late = took_ms > self.settle_ms
+        if served and not late:
+            self.window = min(self.window_top, self.window + 1.0)
+        elif late:
+            self.window = max(WINDOW_LEAST, self.window / 2.0)
+        if self.window < 1.0:
+            pause = min(PAUSE_MOST_MS, took_ms * (1.0 / self.window - 1.0))
+            self.pause_ms = now_ms + pause * (0.75 + 0.5 * self.rng.random())
+
+    def _gate(self, now_ms: float) -> float:
+        """0 when another set-up may start, else after how long to come again."""
+        if now_ms < self.pause_ms:
+            return self.pause_ms - now_ms
+        return RETRY_LEAST_MS if self.pending >= max(1.0, self.window) else 0.0
+
     # ------------------------------------------------------------ 2 curve, 3 buckets
 
     def _take_token(self, now_ms: float, tenant: str) -> float:
@@ -352,12 +374,6 @@
                     return s
             if scarce:
                 return None
-        # Where handshakes are priced, servers come first to which an idle connection can be used again, if
-        # we hold fewer connections than there are servers: else chance meets one often enough.
-        if self.spare and self.open < len(self.ready):
-            s = self._with_spare(now_ms, r)
-            if s is not None:
-                return s
         # Where crossing zones is priced, our own zone's servers come first, and others when it is full.
         if self.near and len(self.near) < len(self.ready):
             s = self._lighter(now_ms, r, self.near)
@@ -373,27 +389,6 @@
             s = min((t for t in rest if self._may_send(now_ms, r, t)), key=self._load, default=None)
         return s
 
-    def _with_spare(self, now_ms: float, r: _Request) -> _Server | None:
-        """The lighter of two random ones of our zone where an idle connection of ours can be used again."""
-        best: _Server | None = None
-        want = 2
-        for _ in range(DRAWS):
-            if not want or not self.spare:
-                break
-            k = int(self.rng.random() * len(self.spare))
-            s = self.spare[k]
-            while s.spare and s.spare[0] < now_ms - self.settings.keepalive_ms * SPARE_PART:
-                s.spare.pop(0)
-            if not s.spare or not s.ready:
-                s.pooled = False
-                self.spare[k] = self.spare[-1]
-                self.spare.pop()
-            elif s is not best and s is not r.server and not s.full() and self._may_send(now_ms, r, s):
-                want -= 1
-                if best is None or self._load(s) < self._load(best):
-                    best = s
-        return best
-
     def _ranked(self, group: str) -> tuple[list[_Server], int]:
         ranked = self.ranked.get(group)
         if ranked is None:
@@ -452,9 +447,10 @@
         if left_ms <= 0 or r.attempts >= self.settings.max_attempts or (r.attempts and now_ms >= r.aim_ms):
             self._end(r, 0.0)
             return
-        s = self._trial(now_ms, r) or self._pick(now_ms, r)
+        wait_ms = 0.0 if r.midflow else self._gate(now_ms)
+        s = None if wait_ms else self._trial(now_ms, r) or self._pick(now_ms, r)
         if s is None:
-            self._end(r, RETRY_LEAST_MS)
+            self._end(r, wait_ms or RETRY_LEAST_MS)
             return
         # A time-out leaves room for another try, unless there can be none.
         last = r.attempts + 1 >= self.settings.max_attempts or r.cls.effect == "unsafe"
@@ -469,8 +465,6 @@
             self._review(now_ms, s)
         if s.cold:
             s.credit -= 1.0
-        if s.spare:
-            s.spare.pop()
         self.actions.append(Send(r.id, s.name, timeout_ms))
 
     def _end(self, r: _Request, retry_after_ms: float) -> None:
@@ -490,6 +484,7 @@
         if r is None or r.state != PENDING or e.attempt != r.attempts - 1 or r.server is None:
             return
         r.state, s = OPEN, r.server
+        self._settled(now_ms, now_ms - r.sent_ms, True)
         if not r.done:
             s.conns[r.id] = r
         self._count(s, -1, 0)
@@ -527,13 +522,8 @@
         self._count_held(r, -1)
         r.state = HELD
         self._release(s, r)
-        near = not self.near or s.zone == self.settings.zone
-        if self.settings.price_handshake and status == "ok" and near:
-            s.spare = [*s.spare[-SPARE_MOST:], now_ms]
-            if not s.pooled:
-                s.pooled = True
-                self.spare.append(s)
         if early:
+            self._settled(now_ms, now_ms - r.sent_ms, status == "ok")
             s.trial = False
             if status == "ok":
                 self._set_limit(s, s.limit + 1)
@@ -729,8 +719,6 @@
             s.ready = False
             self._sum(s)
             self.closed.pop(name, None)
-            if s.pooled:
-                self.spare.remove(s)
         self.ready, self.out, self.ranked = [], [], {}
         for s in self.servers.values():
             s.ready = s.state == "ready" and not s.out_until_ms
--- a/sageturn/settings.py
+++ b/sageturn/settings.py
@@ -59,7 +59,5 @@
         weights=conf.get("weightKind") or "none",
         groups=bool(info.get("groups")),
         price_cross_zone=prices.get("crossZone", 0.0),
-        price_handshake=prices.get("handshake", 0.0),
-        keepalive_ms=limits.get("keepaliveMs") or 0.0,
         price_move=prices.get("moves", 0.0),
     )
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,116 @@
+"""Many relays at once: what is harmless alone, counted across the fleet. No sockets, no clock."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from sageturn import (
+    Balancer,
+    FirstSign,
+    Outcome,
+    Refuse,
+    Request,
+    RequestClass,
+    Send,
+    Server,
+    ServerList,
+    Settings,
+    Tenant,
+)
+
+STORE_PER_S = 45.0  # set-ups a second that the session store behind all hosts can do, one after another
+CLASSES = (RequestClass("brisk", aim_ms=300.0), RequestClass("slow", aim_ms=800.0))
+PATIENCE_MS = {"brisk": 1200.0, "slow": 3200.0}
+
+
+class Fleet:
+    """Relays that share nothing, before hosts that share one store. Clients come again until they stand."""
+
+    def __init__(self, relays: int, hosts: int, seed: int) -> None:
+        settings = Settings(
+            classes=CLASSES,
+            tenants=(Tenant("t", 13.0),),
+            balancers=relays,
+            max_retry_after_ms=1500.0,
+            tells_delay=False,
+            weights="rough",
+        )
+        self.rng = Random(seed)
+        self.relays = [Balancer(settings, seed * 1000 + k) for k in range(relays)]
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.now, self.ids, self.free_ms = 0.0, 0, 0.0
+        self.out = self.most_out = self.standing = self.wasted = 0
+        for relay in self.relays:
+            relay.handle(0.0, ServerList("full", [Server(f"h{k}") for k in range(hosts)]))
+
+    def at(self, when_ms: float, what: Callable[[], None]) -> None:
+        self.ids += 1
+        heapq.heappush(self.due, (when_ms, self.ids, what))
+
+    def client(self, tries: int = 0) -> None:
+        cls = "brisk" if self.rng.random() < 0.6 else "slow"
+        self.ids += 1
+        request, relay = self.ids, self.rng.choice(self.relays)
+        give_up_ms = self.now + PATIENCE_MS[cls]
+        self.act(relay, request, relay.handle(self.now, Request(request, cls, "t", give_up_ms)), tries, 0)
+
+    def act(self, relay: Balancer, request: int, actions: list[Any], tries: int, attempt: int) -> None:
+        for action in actions:
+            if isinstance(action, Refuse):
+                # Four in ten honour the advice; the others come at once, and only later wait for longer.
+                own_ms = (30.0, 30.0, 2000.0)[min(tries, 2)]
+                wait_ms = action.retry_after_ms if self.rng.random() < 0.4 else own_ms
+                self.at(self.now + wait_ms, lambda: self.client(tries + 1))
+            elif isinstance(action, Send):
+                self.set_up(relay, request, action, tries, attempt)
+
+    def set_up(self, relay: Balancer, request: int, send: Send, tries: int, attempt: int) -> None:
+        self.out += 1
+        self.most_out = max(self.most_out, self.out)
+        self.free_ms = max(self.free_ms, self.now) + 1000.0 / STORE_PER_S
+        ready_ms, until_ms = self.free_ms + 20.0, self.now + send.timeout_ms
+        late = ready_ms > until_ms
+
+        def over() -> None:
+            self.out -= 1
+            if late:  # the store does the work all the same
+                self.wasted += 1
+                outcome = Outcome(request, attempt, send.server, "timeout", False)
+                self.act(relay, request, relay.handle(self.now, outcome), tries, attempt + 1)
+            else:
+                self.standing += 1
+                relay.handle(self.now, FirstSign(request, attempt, send.server, ready_ms - begun_ms))
+
+        begun_ms = self.now
+        self.at(min(ready_ms, until_ms), over)
+
+    def run(self, until_ms: float) -> None:
+        while self.due and self.due[0][0] <= until_ms:
+            self.now, _, what = heapq.heappop(self.due)
+            what()
+
+
+def reconnect(relays: int, clients: int, seed: int, over_ms: float = 500.0) -> Fleet:
+    """So many clients have lost their connections, and come again within half a second."""
+    fleet = Fleet(relays, 13, seed)
+    for _ in range(clients):
+        fleet.at(fleet.rng.random() * over_ms, fleet.client)
+    return fleet
+
+
+def test_a_lost_zones_clients_do_not_jam_the_store_that_all_relays_share() -> None:
+    for seed in range(3):
+        fleet = reconnect(relays=40, clients=160, seed=seed)
+        fleet.run(9000.0)
+        assert fleet.most_out <= 40  # one a relay
+        assert fleet.wasted <= 4
+        assert fleet.standing >= 152
+
+
+def test_a_small_fleets_relays_are_not_held_up_by_what_many_would_have_to_share() -> None:
+    fleet = reconnect(relays=4, clients=40, seed=1, over_ms=1000.0)
+    fleet.run(1800.0)
+    assert fleet.standing == 40 and not fleet.wasted
