Spread calls for the list by the number of relays, so that discovery can answer each

For twelve seconds every call waited 2.0 s and got a 503; 28 relays killed at 11.8 s asked in one moment at 13.7 s, 12 were answered, 0.13 s apart, the others called in step until 24.4 s. New hosts stayed unknown to them.

Ruled out: a discovery that is down (it pushed changes to open watches meanwhile), and too few calls (slower retries alone did not help). It works, in turn, on calls that have given up too: each round of calls spent the next round's time.

At fault: rules.py asked at once at a start, and waited 0.35 to 1 s after a failure whatever the number of relays.

Change: CallPace in shares.py: the first call within the time in which all relays can be answered, a failed one after half to one and a half times 1.25 of it. Zones whose hosts are all gone still count when shares are made out.

--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -16,7 +16,7 @@
     Action, Cancel, ClientGone, Event, Fail, FirstSign, Inherited, Move, Note, Outcome, Refuse, Request,
     RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
-from sageturn.shares import Place, SetUpWindow, quota_bounds
+from sageturn.shares import CallPace, Place, SetUpWindow, quota_bounds
 
 LIMIT_START = 8  # pending connections a server is trusted with before it has shown anything
 LIMIT_TOP = 32  # growth stops here, or a long quiet spell would make depth blind
@@ -34,7 +34,7 @@
 SUSPECT = 3  # failures in a row that put a server out; a failed connect counts double
 OUT_MS = 1500.0  # time out, and again after each failed trial
 OUT_SHARE = 0.34  # never more of the listed ready servers out than this
-WATCH_RETRY_MS = 700.0  # first wait after a failed call to the list, doubled up to a part of must_ask
+WATCH_RETRY_MS = 700.0  # the least mean wait after a failed call to the list, up to a part of must_ask
 OVER = 1.2  # a tenant is beyond its share above this many times its quota's part of one balancer
 LATE_PART = 0.34  # of the shortest message aim: longer messages show a server near its capacity
 MOVE_AIM = 0.5  # of the shortest message aim: a server with longer delays is relieved
@@ -146,6 +146,7 @@
         self.late_ms = min(aims, default=100.0) * LATE_PART
         self.move_ms = min(aims, default=100.0) * MOVE_AIM
         self.servers: dict[str, _Server] = {}
+        self.zones = {settings.zone}  # all that were ever listed: their relays bring clients, servers or not
         self.ready: list[_Server] = []
         self.near: list[_Server] = []  # the ready ones of our zone, where crossings are priced
         self.out: list[_Server] = []
@@ -163,7 +164,7 @@
         self.sum_pending = self.sum_limits = self.sum_open = 0  # over ready servers
         self.sum_blind = 0  # limits of ready servers on which we hold nothing
         self.watching, self.review_ms, self.ease_ms = False, 0.0, 0.0
-        self.watch_wait_ms = WATCH_RETRY_MS
+        self.calls = CallPace(settings.balancers, WATCH_RETRY_MS, settings.must_ask_in_ms / 3, self.rng)
         self.actions: list[Action] = []
         self.now_ms = 0.0
         self.handlers: dict[type, Callable[[float, Any], None]] = {
@@ -678,15 +679,13 @@
         if e.kind == "failed":
             # A failure does not say which call failed, so the watch is asked for again, spread out.
             self.watching = False
-            wait_ms = self.watch_wait_ms * (0.5 + self.rng.random())
-            self.watch_wait_ms = max(WATCH_RETRY_MS, min(wait_ms * 2, self.settings.must_ask_in_ms / 3))
-            self.actions.append(SetTimer(wait_ms, "watch"))
+            self.actions.append(SetTimer(self.calls.failed_ms(), "watch"))
             return
         if e.kind == "stale" and self.settings.discovery == "ask":
-            self.actions.append(Watch())
+            self.actions.append(SetTimer(self.calls.first_ms(), "watch"))
         elif e.kind != "stale":
             self.watching = True
-            self.watch_wait_ms = WATCH_RETRY_MS
+            self.calls.succeeded()
         if e.kind in ("full", "stale"):
             named = {line.name for line in e.servers}
             for s in self.servers.values():
@@ -754,7 +753,8 @@
             own = self.settings.zone if self.settings.price_cross_zone else None
             places = [Place(s.zone, s.size, s.share) for s in self.ready]
             each = self.quota / self.first_listed
-            self.most, bounds = quota_bounds(places, own, each, self.settings.balancers)
+            self.zones |= {s.zone for s in self.servers.values()}
+            self.most, bounds = quota_bounds(places, self.zones, own, each, self.settings.balancers)
             for s, most in zip(self.ready, bounds, strict=True):
                 s.most = most
 
--- a/sageturn/shares.py
+++ b/sageturn/shares.py
@@ -63,16 +63,17 @@
 
 
 def quota_bounds(
-    places: Iterable[Place], own_zone: str | None, per_server: float, relays: int
+    places: Iterable[Place], zones: Iterable[str], own_zone: str | None, per_server: float, relays: int
 ) -> tuple[float, list[float]]:
     """Connections that one relay may hold in all, and at each place. None is rounded.
 
-    ``per_server``: what the quotas stand for at a server of mean size. A zone's servers are first for its own
-    relays; what a zone has beyond an even part goes to relays whose zone has less. ``own_zone`` is None where
-    crossing zones costs nothing: then all are shared evenly.
+    ``zones``: all from which clients come. ``per_server``: what the quotas stand for at a mean server. A
+    zone's servers are first for its own relays;
+    what a zone has beyond an even part goes to those whose zone has
+    less. ``own_zone`` is None where crossing zones costs nothing: then all are shared evenly.
     """
     places = list(places)
-    sums: dict[str, float] = {}
+    sums = dict.fromkeys(zones, 0.0)
     for p in places:
         sums[p.zone] = sums.get(p.zone, 0.0) + p.size
     total = sum(sums.values()) or 1.0
@@ -92,3 +93,31 @@
             part = lacking * max(0.0, sums[p.zone] - even) / beyond * p.size / (sums[p.zone] or 1.0)
         bounds.append(QUOTA_OVER * part * whole + few * full + QUOTA_LOOSE / relays)
     return whole + few * full * len(places), bounds
+
+
+# What one call costs the service of lists that all relays share, as seen where it was overbooked: it
+# answers seven or eight a second, in turn, and works on those that have given up waiting too.
+CALL_MS = 130.0
+FIRST_PART = 1.0  # of the time in which it can answer every relay: those that start together ask in it
+AGAIN_PART = 1.25  # and after a failure each waits half to one and a half times this part of it
+
+
+class CallPace:
+    """When a relay asks for the list: not in step with the others, nor all faster than it answers."""
+
+    def __init__(self, relays: int, least_ms: float, most_ms: float, rng: Random) -> None:
+        """``least_ms``, ``most_ms`` bound the mean wait, which doubles with each failure in a row."""
+        self._fleet_ms, self._least_ms, self._rng = relays * CALL_MS, least_ms, rng
+        self._mean_ms = max(least_ms, self._fleet_ms * AGAIN_PART)
+        self._most_ms = max(most_ms, self._mean_ms)
+
+    def first_ms(self) -> float:
+        return self._fleet_ms * FIRST_PART * self._rng.random()
+
+    def failed_ms(self) -> float:
+        wait_ms = self._mean_ms * (0.5 + self._rng.random())
+        self._mean_ms = min(self._mean_ms * 2.0, self._most_ms)
+        return wait_ms
+
+    def succeeded(self) -> None:
+        self._mean_ms = max(self._least_ms, self._fleet_ms * AGAIN_PART)
