State the quota bound once, and keep zones where the list is read

The check against the quotas' bound stood in rules.py and again in core/hosts.py: _Server.beyond serves both. The own zone was worked out in two places: own_zone. The zones ever listed were gathered anew every 50 ms on the path of a request: now when a list comes, which also leaves out the nameless zone of a host that only an inherited connection named. CallPace worked out its first mean twice. Two lines that were only moved are back where they stood.

--- a/sageturn/core/hosts.py
+++ b/sageturn/core/hosts.py
@@ -39,7 +39,7 @@
     for s in known.values() if names is None else [known[n] for n in sorted(names) if n in known]:
         if s.state == "gone":
             continue
-        shut = s.closed or now_ms < s.spent_until_ms or not s.ready or s.open + 1 > s.most + s.odd
+        shut = s.closed or now_ms < s.spent_until_ms or not s.ready or s.beyond()
         room = 0 if shut else max(0, s.limit - s.pending)
         if s.cold and now_ms < s.started_ms + warm_ms:
             room = min(room, balancer._cold_ok(now_ms, s))  # its budget is spent one by one
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -56,11 +56,11 @@
 RANKED_MOST = 500  # groups whose servers are kept in order: most of those refused are not seen again
 SOFT_HEAVIER = 2.0  # a server that such signs speak against counts as so much heavier: signs, not proof
 WEIGH_MS = 1000.0  # where no delays are told, a server's loads are weighed this often
+SHED_LEAST, SHED_MS, SHED_GROW = 2, 2000.0, 0.3  # resets within so long of each other; room regained a second
 SPENT_AT = 0.8  # part of what its size carries by estimate: it takes nothing more
 FULL_AT, FULL_OVER = 0.6, 1.15  # part of what its size carries, and times the mean: it counts as late
 MOVE_AT, MOVE_OVER = 0.7, 1.3  # and from here on it is relieved
 SPREAD = 0.12  # variance of servers' shares of all connections against even ones: a few of ours tell little
-SHED_LEAST, SHED_MS, SHED_GROW = 2, 2000.0, 0.3  # resets within so long of each other; room regained a second
 LAG_NEW, LAG_FREE, LAG_LATE = 0.5, 0.4, 0.8  # weight of the latest set-up; a lag that counts; a slow server's
 LAG_FADE_MS, USUAL_NEW = 9000.0, 0.1  # a lag fades in so long; weight of a set-up in what is usual for all
 COLD_CARE = 0.8  # of the multiple of what fills a cold server over its warm-up, many balancers use this,
@@ -75,7 +75,7 @@
 class _Server:
     """What this balancer knows of one server."""
 
-    def __init__(self, line: Server) -> None:
+    def __init__(self, line: Server, odd: float = 0.0) -> None:
         self.name, self.zone, self.cell = line.name, line.zone, line.cell
         self.hash = crc32(line.name.encode())
         self.kind, self.state = line.kind, line.state
@@ -90,16 +90,16 @@
         self.credit = self.credit_ms = 0.0  # sends that a cold server's budget has left us, and as of when
         self.sheds, self.shed_ms = 0, 0.0  # resets in a row of connections that stood
         self.spent_until_ms = self.soft_until_ms = 0.0  # till then beyond what it can do; fuller than others
-        self.late_until_ms = self.weigh_ms = self.work = 0.0  # work: sum of the loads told of its connections
+        self.late_until_ms = self.weigh_ms = 0.0
         self.took = self.took_ms = 0.0  # mean of the logs of its latest set-up times, and as of when
         # Of our connections, by its size and zone; its size by its kind too; by the list and operators alone.
         self.part, self.size, self.share = 0.0, 1.0, 1.0
         self.conns: dict[int, _Request] = {}  # own connections that stand
-        self.heard = 0  # of how many of these a load was told
+        self.work, self.heard = 0.0, 0  # sum of the loads told of these, and of how many
         self.room = float("inf")  # own connections it can hold, once it has shown that it cannot hold all
         self.room_ms = self.chance = 0.0
         # Own connections it can hold by the quotas, and what rounds them: each balancer's part is a fraction.
-        self.most, self.odd = float("inf"), 0.0
+        self.most, self.odd = float("inf"), odd
         self.groups: dict[str, int] = {}  # own connections by group
         self.closed = False  # late or out of room: counts as full
         self.in_pending = self.in_limit = self.in_blind = self.in_open = 0  # its part of the sums
@@ -107,6 +107,9 @@
     def full(self) -> bool:
         return self.closed or self.pending >= self.limit
 
+    def beyond(self) -> bool:  # one more than our part of what it can hold by the quotas
+        return self.open + 1 > self.most + self.odd
+
 
 class _Request:
     """A request held or a connection open."""
@@ -146,6 +149,7 @@
         self.late_ms = min(aims, default=100.0) * LATE_PART
         self.move_ms = min(aims, default=100.0) * MOVE_AIM
         self.servers: dict[str, _Server] = {}
+        self.own_zone = settings.zone if settings.price_cross_zone else None  # where crossings are priced
         self.zones = {settings.zone}  # all that were ever listed: their relays bring clients, servers or not
         self.ready: list[_Server] = []
         self.near: list[_Server] = []  # the ready ones of our zone, where crossings are priced
@@ -422,7 +426,7 @@
             return False
         if s.cold and not self._cold_ok(now_ms, s):
             return False
-        if s.open + 1 > s.most + s.odd:
+        if s.beyond():
             return False
         if r.ran_ms < 0 or r.cls.effect == "safe":
             return True
@@ -696,11 +700,11 @@
             # No more balancers can hold something on one server than it has connections.
             if self.quota:
                 self.sharers = min(self.settings.balancers, max(1.0, self.quota / self.first_listed))
+        self.zones.update(line.zone for line in e.servers)
         for line in e.servers:
             known = self.servers.get(line.name)
             if known is None:
-                known = self.servers[line.name] = _Server(line)
-                known.odd = self.rng.random()
+                known = self.servers[line.name] = _Server(line, self.rng.random())
                 if e.kind == "stale":
                     known.fresh = now_ms - line.started_at_ms < self.settings.warm_within_ms
             elif line.state != "gone":
@@ -733,8 +737,7 @@
             elif s.state == "ready":
                 self.out.append(s)
             self._sum(s)
-        own = self.settings.zone if self.settings.price_cross_zone else None
-        self.near = [s for s in self.ready if s.zone == own]
+        self.near = [s for s in self.ready if s.zone == self.own_zone]
         self._share_out()
 
     def _share_out(self) -> None:
@@ -750,11 +753,9 @@
         for s in self.near:
             s.part = s.size / max(here, self.size * ours)
         if self.quota and self.first_listed and not self.settings.tells_delay:
-            own = self.settings.zone if self.settings.price_cross_zone else None
             places = [Place(s.zone, s.size, s.share) for s in self.ready]
-            each = self.quota / self.first_listed
-            self.zones |= {s.zone for s in self.servers.values()}
-            self.most, bounds = quota_bounds(places, self.zones, own, each, self.settings.balancers)
+            each, count = self.quota / self.first_listed, self.settings.balancers
+            self.most, bounds = quota_bounds(places, self.zones, self.own_zone, each, count)
             for s, most in zip(self.ready, bounds, strict=True):
                 s.most = most
 
--- a/sageturn/shares.py
+++ b/sageturn/shares.py
@@ -1,4 +1,4 @@
-"""One relay's part of what all relays may ask of a fleet: the set-up window and the quotas' bounds.
+"""One relay's part of what all relays may ask of a fleet: set-ups, connections, calls.
 
 Pure: no clock, no I/O; chance is passed in. What a relay allows itself here, times the number of relays,
 stays inside what the session store and the servers bear, whatever the size of the fleet.
@@ -68,8 +68,7 @@
     """Connections that one relay may hold in all, and at each place. None is rounded.
 
     ``zones``: all from which clients come. ``per_server``: what the quotas stand for at a mean server. A
-    zone's servers are first for its own relays;
-    what a zone has beyond an even part goes to those whose zone has
+    zone's servers are first for its own relays; what it has beyond an even part goes to those whose zone has
     less. ``own_zone`` is None where crossing zones costs nothing: then all are shared evenly.
     """
     places = list(places)
@@ -107,9 +106,9 @@
 
     def __init__(self, relays: int, least_ms: float, most_ms: float, rng: Random) -> None:
         """``least_ms``, ``most_ms`` bound the mean wait, which doubles with each failure in a row."""
-        self._fleet_ms, self._least_ms, self._rng = relays * CALL_MS, least_ms, rng
-        self._mean_ms = max(least_ms, self._fleet_ms * AGAIN_PART)
-        self._most_ms = max(most_ms, self._mean_ms)
+        self._fleet_ms, self._rng = relays * CALL_MS, rng
+        self._calm_ms = self._mean_ms = max(least_ms, self._fleet_ms * AGAIN_PART)
+        self._most_ms = max(most_ms, self._calm_ms)
 
     def first_ms(self) -> float:
         return self._fleet_ms * FIRST_PART * self._rng.random()
@@ -120,4 +119,4 @@
         return wait_ms
 
     def succeeded(self) -> None:
-        self._mean_ms = max(self._least_ms, self._fleet_ms * AGAIN_PART)
+        self._mean_ms = self._calm_ms
