--- /dev/null
+++ b/sageturn/core/quiet.py
@@ -0,0 +1,29 @@
+"""Whether a standing connection's endpoint has vanished, told by what passes on it. Pure: times come in."""
+
+from __future__ import annotations
+
+
+class Quiet:
+    """One standing connection. Times are seconds of one clock that never goes back."""
+
+    def __init__(self, now_s: float, patience_s: float, every_s: float = 0.0) -> None:
+        """``patience_s``: how long the endpoint may leave a line unanswered. ``every_s``: where the wire's
+        clients send a line this often, one that comes sooner after the endpoint's last word may wait so
+        much longer: then all are let go equally long after that word, whatever the client's own beat.
+        """
+        self._patience_s, self._every_s = patience_s, every_s
+        self._asked_s: float | None = None  # when the oldest line without an answer was passed on
+        self.heard_s = now_s  # when the endpoint's latest word came
+
+    def asked(self, now_s: float) -> None:
+        if self._asked_s is None:
+            self._asked_s = now_s
+
+    def heard(self, now_s: float) -> None:
+        self.heard_s, self._asked_s = now_s, None
+
+    def left_s(self, now_s: float) -> float:
+        """How long until the endpoint can be mute at the earliest; 0 or less once it is."""
+        if self._asked_s is None:
+            return self._patience_s
+        return max(self._asked_s, self.heard_s + self._every_s) + self._patience_s - now_s
--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -62,6 +62,7 @@
     endpoint_address: tuple[str, int] = ("0.0.0.0", 0)
     octets_up: int = 0  # passed on to the endpoint while it stood
     octets_down: int = 0
+    quiet_s: float = 0.0  # how long nothing had come from the endpoint when it ended, if it stood
 
 
 class RequestLife:
--- a/sageturn/core/tasks.py
+++ b/sageturn/core/tasks.py
@@ -1,8 +1,9 @@
-"""Ending tasks for certain."""
+"""Ending tasks for certain, and waiting for a time that may move on meanwhile."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 
@@ -14,3 +15,10 @@
     await asyncio.wait((task,))
     if not task.cancelled():
         task.exception()
+
+
+async def wait_out(left_s: Callable[[float], float]) -> None:
+    """Returns once ``left_s`` of the loop's time is 0 or less; asked again each time that it said is over."""
+    loop = asyncio.get_running_loop()
+    while (left := left_s(loop.time())) > 0:
+        await asyncio.sleep(left)
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -9,9 +9,10 @@
 
 from sageturn.core.endings import Ending
 from sageturn.core.messages import Answer
+from sageturn.core.quiet import Quiet
 from sageturn.core.requests import RequestLife
 from sageturn.core.shared import Shared
-from sageturn.core.tasks import end_task
+from sageturn.core.tasks import end_task, wait_out
 from sageturn.fronts.firstline import LINE_MOST, FirstLine, Malformed, parse_first_line
 from sageturn.fronts.ids import RequestIds
 from sageturn.fronts.pump import Broken, LinePump
@@ -32,8 +33,12 @@
 # From its acceptance until a client has asked, PING included. A usual one asks as it connects; all others
 # are owed an answer within 3 s, and the time it takes them to be accepted counts.
 FIRST_LINE_S = 2.0
-MUTE_S = 5.0  # nothing back on a client's line for this long: the endpoint has vanished
-MUTE_LOOK_S = 0.25
+# Clients send a line every 2 s, and one that brings nothing back for 7 s has to be moved by then. Both count
+# from the endpoint's last word: the client's next line, up to 2 s later, must not begin the whole wait anew.
+LINE_EVERY_S = 2.0
+BACK_WITHIN_S = 7.0
+MOVE_EARLY_S = 0.6  # MOVE has to be put in and to travel, on a core that others may hold for a while
+MUTE_S = BACK_WITHIN_S - LINE_EVERY_S - MOVE_EARLY_S  # how long a line may be left unanswered
 LAST_WORD_S = 0.5  # what an ended side may still have coming from the other
 MOVE_S = 0.7
 
@@ -118,7 +123,6 @@
         self._endpoint: socket.socket | None = None
         self._answer = b""  # the endpoint's first line, and what followed it
         self._last_line = b""
-        self._asked_s = 0.0  # when the client's oldest unanswered line was passed on
         self.life = RequestLife(shared.module, self, line.ask)
         self.life.record.client = sock.getpeername()
         self._loads: asyncio.Queue[float] = asyncio.Queue(16)
@@ -212,9 +216,10 @@
         down = LinePump(endpoint, self._client, self._from_endpoint, self._answer)
         up = LinePump(self._client, endpoint, self._from_client, self._ahead)
         self._buffer, self._answer, self._ahead = bytearray(), b"", b""
+        self._quiet = Quiet(asyncio.get_running_loop().time(), MUTE_S, LINE_EVERY_S)
         downward, upward = asyncio.ensure_future(down.run()), asyncio.ensure_future(up.run())
         stopping = asyncio.ensure_future(stop.wait())
-        muting = asyncio.ensure_future(self._await_mute())
+        muting = asyncio.ensure_future(wait_out(self._quiet.left_s))
         noting = asyncio.ensure_future(self._pass_loads())
         try:
             await asyncio.wait(
@@ -232,6 +237,7 @@
             for task in (downward, upward, stopping, muting, noting):
                 await end_task(task)
             self.life.record.octets_down, self.life.record.octets_up = down.passed, up.passed
+            self.life.record.quiet_s = asyncio.get_running_loop().time() - self._quiet.heard_s
             await asyncio.gather(close_politely(self._client), close_politely(endpoint))
 
     async def _endpoint_ended(self, downward: asyncio.Task[None], upward: asyncio.Task[None]) -> Ending:
@@ -265,7 +271,7 @@
         return Ending.CLIENT_LEFT
 
     def _from_endpoint(self, buffer: bytearray, whole: int) -> None:
-        self._asked_s = 0.0
+        self._quiet.heard(asyncio.get_running_loop().time())
         at = 0
         while at < whole:
             end = buffer.index(b"\n", at) + 1
@@ -276,8 +282,7 @@
         self._last_line = bytes(buffer[start : min(whole, start + 16)]).strip()
 
     def _from_client(self, buffer: bytearray, whole: int) -> None:
-        if not self._asked_s:
-            self._asked_s = asyncio.get_running_loop().time()
+        self._quiet.asked(asyncio.get_running_loop().time())
 
     def _note_load(self, text: bytes) -> None:
         try:
@@ -291,11 +296,6 @@
         while True:
             await self.life.note_load(await self._loads.get())
 
-    async def _await_mute(self) -> None:
-        loop = asyncio.get_running_loop()
-        while not self._asked_s or loop.time() - self._asked_s < MUTE_S:
-            await asyncio.sleep(MUTE_LOOK_S)
-
 
 _FIRST_WORDS = {
     b"BUSY": Ending.BUSY,
--- a/sageturn/fronts/xmpp/front.py
+++ b/sageturn/fronts/xmpp/front.py
@@ -12,9 +12,10 @@
 
 from sageturn.core.endings import Ending
 from sageturn.core.messages import Answer, Ask
+from sageturn.core.quiet import Quiet
 from sageturn.core.requests import RequestLife
 from sageturn.core.shared import Shared
-from sageturn.core.tasks import end_task
+from sageturn.core.tasks import end_task, wait_out
 from sageturn.fronts.xmpp.accept import BIND, Acceptor, Wish, first_session
 from sageturn.fronts.xmpp.accounts import Accounts
 from sageturn.fronts.xmpp.dial import Dialer, Refusal, stream_condition
@@ -30,7 +31,6 @@
 HEADER_S = 2.0  # until the first stream's header is whole: as on the platform, the silent are cut off soon
 REST_S = 0.7  # a stanza that is on the wire when its client must go has this long to end
 LAST_WORD_S = 0.5
-MUTE_LOOK_S = 0.25
 TURN_AWAY = (
     b"<?xml version='1.0'?>"
     + f"<stream:stream xmlns='jabber:client' xmlns:stream='{STREAMS}' version='1.0'>".encode()
@@ -90,7 +90,7 @@
         self._endpoint: Session | None = None
         self._jid = ""
         self._waiting: list[Stanza] = []  # sent by the client before it was answered
-        self._asked_s = 0.0
+        self._quiet = Quiet(asyncio.get_running_loop().time(), options.mute_s)
         self._down_at_rest = asyncio.Lock()
 
     # ------------------------------------------------------------ one outbound call
@@ -159,7 +159,7 @@
         downward = asyncio.ensure_future(self._downward(endpoint))
         upward = asyncio.ensure_future(self._upward(endpoint))
         stopping = asyncio.ensure_future(stop.wait())
-        muting = asyncio.ensure_future(self._await_mute())
+        muting = asyncio.ensure_future(wait_out(self._quiet.left_s))
         last = b""
         try:
             await asyncio.wait((downward, upward, stopping, muting), return_when=asyncio.FIRST_COMPLETED)
@@ -178,6 +178,7 @@
             for task in (downward, upward, stopping, muting):
                 await end_task(task)
             self.life.record.octets_up, self.life.record.octets_down = endpoint.sent, self._client.sent
+            self.life.record.quiet_s = asyncio.get_running_loop().time() - self._quiet.heard_s
         await self._part(endpoint, ending, last)
         return ending
 
@@ -210,10 +211,11 @@
 
     async def _downward(self, endpoint: Session) -> tuple[Ending, bytes]:
         """From the endpoint to the client; with the ending, the stream error that the client is owed."""
+        loop = asyncio.get_running_loop()
         try:
             while True:
                 piece = await endpoint.next()
-                self._asked_s = 0.0
+                self._quiet.heard(loop.time())
                 if piece is None:
                     return Ending.ENDED, error_xml("remote-connection-failed")
                 if isinstance(piece, Closed):
@@ -251,8 +253,8 @@
                 continue
             # Only a request for information obliges the endpoint to say something back.
             asks = piece.element.tag.endswith("}iq") and piece.element.get("type") in ("get", "set")
-            if asks and not self._asked_s:
-                self._asked_s = loop.time()
+            if asks:
+                self._quiet.asked(loop.time())
             try:
                 await endpoint.send(piece.raw)
             except OSError:
@@ -265,8 +267,3 @@
             except ValueError:
                 continue
             await self.life.note_load(value)
-
-    async def _await_mute(self) -> None:
-        loop = asyncio.get_running_loop()
-        while not self._asked_s or loop.time() - self._asked_s < self._options.mute_s:
-            await asyncio.sleep(MUTE_LOOK_S)
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -157,7 +157,7 @@
         if self.exporter is not None:
             self.exporter.ended(record)
         log.info(
-            "%s %s %s to %s after %d calls and %.3f s: %s%s",
+            "%s %s %s to %s after %d calls and %.3f s: %s%s%s",
             record.front,
             record.ask.wire_id or "-",
             record.ask.class_name,
@@ -165,6 +165,7 @@
             record.calls,
             (record.ended_ms - record.began_ms) / 1000.0,
             record.ending.name if record.ending else "not placed",
+            f", quiet for {record.quiet_s:.3f} s" if record.stood else "",
             f", {record.answer}" if record.answer else "",
         )
 
