Take an UP only with its receipt and CRLF, and test an endpoint's every step

Seen by reading, and in a test over a stand-in host: an `UP` without a receipt, without its CR, or with octets that are no text was passed on to the client as a service (fronts/platform.py, the comparison with the first word only). The protocol counts a request as lost that is served with what no live host made.

Changed: one strict pattern; whatever does not match is an error of that endpoint, and the request goes on.

Tests: a host that falls silent, resets, ends, dribbles or answers rubbish at every step of its answer, with one whole answer in time asserted, at most three calls, none left behind (fails on the code before: the three forms above were served); waits that are no time; XMPP clients of hosts that fall silent at three steps hear one stream error in time.

--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import re
 import socket
 from contextlib import suppress
 
@@ -169,10 +170,10 @@
             return Ending.RESET
         if not end:
             return Ending.GARBLED if filled == len(answer) else Ending.ENDED
-        word = bytes(answer[:end]).split(None, 1)
-        if word and word[0] == b"UP":
+        if _UP.fullmatch(answer, 0, end):
             self._answer = bytes(answer[:filled])
             return None
+        word = bytes(answer[:end]).split(None, 1)
         return _FIRST_WORDS.get(word[0] if word else b"", Ending.GARBLED)
 
     async def client_left(self) -> Ending:
@@ -297,6 +298,8 @@
             await self.life.note_load(await self._loads.get())
 
 
+# Strict: a client is served with nothing but what a live host made for it, and a spoilt line is not that.
+_UP = re.compile(rb"UP [ -~]+\r\n")
 _FIRST_WORDS = {
     b"BUSY": Ending.BUSY,
     b"ERR": Ending.ERROR,
--- a/tests/test_quiet.py
+++ b/tests/test_quiet.py
@@ -1,7 +1,15 @@
-"""Endpoints that fall silent: when their clients are moved. All on a clock that is passed in."""
+"""Endpoints that fall silent, break off or dribble: when clients are moved, and how they are answered."""
 
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from net_peers import Script, ask, first_line, relaying, reply, resets, silent, up
+from test_xmpp import Client, Server, client_tls
+from test_xmpp import relaying as relaying_xmpp
 
 from sageturn.core.quiet import Quiet
 from sageturn.fronts.platform import BACK_WITHIN_S, LINE_EVERY_S, MUTE_S
@@ -43,3 +51,110 @@
     assert quiet.left_s(LAST + 3602.5) == 3.0
     quiet.asked(LAST + 3602.5)
     assert quiet.left_s(LAST + 3602.5) == 5.0
+
+
+GOOD = b"UP r1 ab\r\n"
+CUTS = (0, 1, 2, 3, 7, len(GOOD) - 1)  # octets of the answer that come before the endpoint's fate
+SPOILT = (
+    b"UP\r\n", b"UP \r\n", b"UP r1\n", b"UP r\xff\r\n", b"UPS r1\r\n", b"UP " + b"r" * 5000 + b"\r\n",
+    b"\r\n", b"\x00" * 64, b"OK\r\n",
+)  # fmt: skip
+
+
+def says_then(text: bytes, fate: Script | None, pause_s: float = 0.0) -> Script:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, line: bytes) -> None:
+        for at in range(len(text)) if pause_s else ():
+            writer.write(text[at : at + 1])
+            await asyncio.sleep(pause_s)
+        if not pause_s:
+            writer.write(text)
+        await writer.drain()
+        if fate is not None:
+            await fate(reader, writer, line)
+
+    return script
+
+
+def test_whatever_an_endpoint_does_its_client_hears_one_whole_answer_in_time(tmp_path: Path) -> None:
+    # An UP without a receipt, without its CR, or with octets that are no text was passed on as a service.
+    wait_ms = 700
+
+    async def one(name: str, script: Script, served: bool) -> None:
+        folder = tmp_path / name
+        folder.mkdir()
+        async with relaying(folder, *[script] * 4) as (relay, endpoints):
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            reader, writer = await ask(relay.listener.address, first_line(wait_ms))
+            heard = await reader.readline()
+            took_s = loop.time() - began
+            assert heard == GOOD if served else heard in (b"BUSY\r\n", b"ERR unavailable\r\n"), (name, heard)
+            assert took_s * 1000.0 < wait_ms + 66.0, (name, took_s)
+            if not served:
+                assert await reader.read() == b"", name  # nothing after the one answer
+                assert 1 <= sum(len(e.lines) for e in endpoints) <= 3, name
+            writer.close()
+            while any(e.open for e in endpoints) or len(relay.lives):  # none is left behind
+                await asyncio.sleep(0.01)
+            assert all(e.most_open <= 1 for e in endpoints)
+
+    async def go() -> None:
+        plays = []
+        for cut in CUTS:
+            for fate in (silent, resets, None):
+                word = fate.__name__ if fate else "ends"
+                plays.append(one(f"{cut}-{word}", says_then(GOOD[:cut], fate), False))
+        plays += [one(f"spoilt-{k}", says_then(text, silent), False) for k, text in enumerate(SPOILT)]
+        plays.append(one("dribbles", says_then(GOOD, up_after, 0.02), True))
+        plays.append(one("too-late", says_then(GOOD, up_after, 0.2), False))
+        for k in range(0, len(plays), 8):  # a few at a time: each relay is a loop's work of its own
+            await asyncio.gather(*plays[k : k + 8])
+
+    asyncio.run(asyncio.wait_for(go(), 60))
+
+
+async def up_after(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, line: bytes) -> None:
+    await reader.read()
+
+
+@pytest.mark.parametrize("wait", [b"", b"d=", b"d=-1", b"d=1e3", b"d=99999999999", b"d=x", b"d=0"])
+def test_a_wait_that_is_no_time_is_answered_and_reaches_no_endpoint(tmp_path: Path, wait: bytes) -> None:
+    async def go() -> None:
+        async with relaying(tmp_path, up) as (relay, (endpoint,)):
+            line = first_line().replace(b"d=2000", wait).replace(b",\r", b"\r")
+            answer = await reply(relay.listener.address, line)
+            assert answer.startswith(b"BUSY" if wait == b"d=0" else b"ERR") and endpoint.lines == []
+
+    asyncio.run(asyncio.wait_for(go(), 10))
+
+
+async def at_once(server: Server) -> None:
+    await server.reader.read()
+
+
+async def after_login(server: Server) -> None:
+    await server.accept()
+    await server.reader.read()
+
+
+async def half_bound(server: Server) -> None:
+    await server.accept()
+    server.say("<iq type='result' id='bind'><bind xmlns='urn:ietf:params:xml:ns:xmpp-bind'><jid>rel")
+    await server.reader.read()
+
+
+@pytest.mark.parametrize("act", [at_once, after_login, half_bound])
+def test_an_xmpp_client_of_a_silent_endpoint_gets_one_stanza_in_time(tmp_path: Path, act: Callable) -> None:  # type: ignore[type-arg]
+    async def go() -> None:
+        async with relaying_xmpp(tmp_path, *[act] * 4, wait_ms=600) as (relay, endpoints):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            began = asyncio.get_running_loop().time()
+            client.wish()
+            rest = await client.rest()
+            assert asyncio.get_running_loop().time() - began < 0.7
+            assert rest.count("<stream:error>") == 1 and "<iq" not in rest, rest
+            assert rest.endswith("</stream:error></stream:stream>")
+            assert 1 <= sum(len(e.lines) for e in endpoints) <= 3
+
+    asyncio.run(asyncio.wait_for(go(), 20))
