Read settings strictly by key, and let a planned stop last as the deadlines allow

Seen by holding every constant against the settings (docs/design/constants.md): a planned stop took 3.4 s on every deployment (core/drain.py, LEAVE_AT_S), but the last signal comes 0.7 s after the longest deadline; where all are under 3 s, what still stands is lost. And by spoiling settings one key at a time: infinity and whole classes of wrong types passed, or ended in an error that named a field of the program, or nothing.

Changed: stop_times() derives the stop from the classes' hardLimitMs (the first deployment keeps 0.45, 1.8, 2.9 and 3.4 s); sections.py holds what config.py and settings.py share, and settings name the path to a faulty key. Zones are kept in the order in which they were listed: sums over a set could differ between processes.

--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -10,7 +10,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 
 from sageturn import interface as api
 from sageturn.core.messages import Listed
@@ -18,6 +18,8 @@
 from sageturn.fronts.xmpp.options import EndpointOptions, XmppOptions
 from sageturn.net.admission import Limits
 from sageturn.net.discovery import BadList, parse_address, read_listed
+from sageturn.sections import ConfigError as ConfigError
+from sageturn.sections import Section
 from sageturn.settings import read_settings
 from sageturn.store.frames import read_secret
 from sageturn.store.replica import ReplicaOptions
@@ -27,53 +29,6 @@
     from sageturn.rebalance.options import RebalanceOptions
 
 Address = tuple[str, int]
-T = TypeVar("T")
-NUMBER_MOST = 1e9  # no count or time in a file is near it; it keeps whole numbers within the system's
-
-
-class ConfigError(Exception):
-    """The text names the faulty key."""
-
-
-class Section:
-    """An object of a configuration file; every fault names the path to its key."""
-
-    def __init__(self, values: Any, where: str) -> None:
-        if not isinstance(values, dict):
-            raise ConfigError(f"{where}: must be an object")
-        self._values, self._where = values, where
-
-    def path(self, key: str) -> str:
-        return f"{self._where}.{key}" if self._where else key
-
-    def get(self, key: str, kind: type[T] | tuple[type[T], ...], default: T | None = None) -> T:
-        value = self._values.get(key, default)
-        if value is None:
-            raise ConfigError(f"{self.path(key)}: is missing")
-        if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-            raise ConfigError(f"{self.path(key)}: has the wrong type")
-        return value
-
-    def has(self, key: str) -> bool:
-        return key in self._values
-
-    def number(self, key: str, default: float | None = None, least: float = 0.0) -> float:
-        value = self.get(key, (int, float), default)
-        if not least <= value <= NUMBER_MOST:  # JSON as Python reads it has NaN and Infinity too
-            raise ConfigError(f"{self.path(key)}: must be from {least:g} to {NUMBER_MOST:g}")
-        return float(value)
-
-    def address(self, key: str, default: str | None = None) -> Address:
-        return read_address(self.path(key), self.get(key, str, default))
-
-    def section(self, key: str) -> Section:
-        return Section(self._values.get(key, {}), self.path(key))
-
-    def only(self, *keys: str) -> None:
-        """A mistyped key in an operator's file must not be passed over in silence."""
-        for key in self._values:
-            if key not in keys:
-                raise ConfigError(f"{self.path(key)}: is unknown")
 
 
 def read_address(where: str, value: str) -> Address:
@@ -83,6 +38,10 @@
         raise ConfigError(f"{where}: {error}") from None
 
 
+def _address(section: Section, key: str) -> Address:
+    return read_address(section.path(key), section.get(key, str))
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """What an operator's file turns on; all of it is off on the platform."""
@@ -204,7 +163,7 @@
             raise ConfigError(f"{where}: has the wrong type")
         peers.append(read_address(where, peer))
     return ReplicaOptions(
-        listen=store.address("listen"),
+        listen=_address(store, "listen"),
         peers=tuple(peers),
         secret=read_secret(_secret(store, "secret_file", folder)),
         interval_s=store.number("interval_s", 2.0, least=0.05),
@@ -214,7 +173,7 @@
 def _flows(flows: Section) -> FlowOptions:
     flows.only("collector", "domain", "template_s", "queue")
     return FlowOptions(
-        collector=flows.address("collector"),
+        collector=_address(flows, "collector"),
         domain=int(flows.number("domain", 1)),
         template_s=flows.number("template_s", 30.0, least=1.0),
         queue=int(flows.number("queue", 4096, least=1)),
@@ -317,7 +276,7 @@
     endpoint = xmpp.section("endpoint")
     endpoint.only("domain", "username", "password_file", "tls", "ca_file", "port")
     return XmppOptions(
-        listen=xmpp.address("listen"),
+        listen=_address(xmpp, "listen"),
         domain=xmpp.get("domain", str),
         tls=tls,
         wait_ms=xmpp.number("wait_ms", 3000.0, least=1.0),
@@ -381,13 +340,8 @@
 
 
 def _settings(top: Section) -> api.Settings:
-    try:
-        # The settings promise notes of delay, but no front's wire has a word for them.
-        return replace(read_settings(top.get("settings", dict)), tells_delay=False)
-    except KeyError as error:
-        raise ConfigError(f"settings: {error.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError, ArithmeticError) as error:
-        raise ConfigError(f"settings: {error}") from None
+    # The settings promise notes of delay, but no front's wire has a word for them.
+    return replace(read_settings(top.get("settings", dict), "settings"), tells_delay=False)
 
 
 def _known(top: Section) -> Listed:
--- a/sageturn/core/drain.py
+++ b/sageturn/core/drain.py
@@ -4,23 +4,47 @@
 
 import asyncio
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 
 from sageturn.core.requests import RequestLife
+from sageturn.interface import RequestClass
 
 log = logging.getLogger(__name__)
 
 ACCEPT_S = 0.6  # new connections keep coming for 0.2 to 0.4 s after the signal
 MOVE_FROM_S = 0.45
-MOVE_OVER_S = 1.8  # spread, so that the other relays aren't met by all the clients in one moment
-HURRY_AT_S = 2.9
-LEAVE_AT_S = 3.4
+# The last signal comes no sooner than so long after the longest deadline, which counts as 3 s at the most.
+LAST_SIGNAL_S, DEADLINE_MOST_S = 0.7, 3.0
+EARLY_S = 0.3  # everything has ended so long before it,
+HURRY_S = 0.5  # and whoever is left is answered and moved at once so long before that
+MOVE_PART = 0.735  # of the time until then clients are moved: moved ones may need a second try elsewhere
+
+
+@dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Seconds after the signal. Clients are moved evenly over ``over_s``, not to come again all at once."""
+
+    move_from_s: float
+    over_s: float
+    hurry_at_s: float
+    leave_at_s: float
+
+
+def stop_times(classes: Iterable[RequestClass]) -> StopTimes:
+    """As long as the deadlines of all classes allow, and no longer; 3 s where one of them is not told."""
+    deadline_s = max((c.give_up_ms or DEADLINE_MOST_S * 1000.0 for c in classes), default=0.0) / 1000.0
+    leave_s = min(deadline_s, DEADLINE_MOST_S) + LAST_SIGNAL_S - EARLY_S
+    hurry_s = max(leave_s - HURRY_S, leave_s / 2.0)
+    from_s = min(MOVE_FROM_S, hurry_s / 2.0)
+    return StopTimes(from_s, (hurry_s - from_s) * MOVE_PART, hurry_s, leave_s)
 
 
 class Lives:
     """All requests that the relay has, on every front."""
 
-    def __init__(self) -> None:
+    def __init__(self, times: StopTimes) -> None:
+        self._times = times
         self._lives: set[RequestLife] = set()
         self.stopping = False
         self._empty = asyncio.Event()
@@ -44,12 +68,13 @@
     async def drain(self) -> None:
         """Returns once nothing is left, or when it is high time to go."""
         self.stopping = True
+        times = self._times
         loop = asyncio.get_running_loop()
         began = loop.time()
-        await asyncio.sleep(MOVE_FROM_S)
-        while self._lives and loop.time() - began < HURRY_AT_S:
+        await asyncio.sleep(times.move_from_s)
+        while self._lives and loop.time() - began < times.hurry_at_s:
             standing = [life for life in self._lives if life.standing and not life.stop.is_set()]
-            steps_left = max(1.0, (MOVE_FROM_S + MOVE_OVER_S - (loop.time() - began)) / 0.05)
+            steps_left = max(1.0, (times.move_from_s + times.over_s - (loop.time() - began)) / 0.05)
             for life in standing[: max(1, round(len(standing) / steps_left))]:
                 life.leave()
             await asyncio.sleep(0.05)
@@ -59,6 +84,6 @@
             life.leave()
             life.hurry()
         try:
-            await asyncio.wait_for(self._empty.wait(), max(0.1, began + LEAVE_AT_S - loop.time()))
+            await asyncio.wait_for(self._empty.wait(), max(0.1, began + times.leave_at_s - loop.time()))
         except TimeoutError:
             log.error("%d connections were still held at the end", len(self._lives))
--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -32,12 +32,14 @@
     scope: str = "all"
     key_ttl_ms: float = 0.0
     message_aim_ms: float = 0.0
+    give_up_ms: float = 0.0  # how long a client waits, all its tries together; 0 where it is not said
 
     def __post_init__(self) -> None:
         _need(self.aim_ms > 0, "aim_ms", "must be above 0")
         _need(self.effect in EFFECTS, "effect", "must be one of " + ", ".join(EFFECTS))
         _need(self.scope in SCOPES, "scope", "must be one of " + ", ".join(SCOPES))
         _need(self.key_ttl_ms >= 0, "key_ttl_ms", "must not be negative")
+        _need(self.give_up_ms >= 0, "give_up_ms", "must not be negative")
         _need(self.message_aim_ms >= 0, "message_aim_ms", "must not be negative")
 
 
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -13,7 +13,7 @@
 from sageturn.config import Config, ConfigError
 from sageturn.core.clock import Clock
 from sageturn.core.destinations import DestinationSet
-from sageturn.core.drain import Lives
+from sageturn.core.drain import Lives, stop_times
 from sageturn.core.hosts import Marks
 from sageturn.core.messages import SourceMoved
 from sageturn.core.module import ModuleActor
@@ -60,7 +60,7 @@
             self.destinations.out = self.overrides.out
         self.discovery = DiscoveryClient(config.discovery, self.destinations.put)
         self.destinations.watcher = self.discovery
-        self.lives = Lives()
+        self.lives = Lives(stop_times(config.settings.classes))
         self._actors: list[asyncio.Future[None]] = []
         self.shared = Shared(self.module, self.destinations, self.lives, self._ended)
         front = PlatformFront(self.shared)
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -147,7 +147,8 @@
         self.probes = Probes(settings, self.late_ms, self.rng)
         self.servers: dict[str, _Server] = {}
         self.own_zone = settings.zone if settings.price_cross_zone else None  # where crossings are priced
-        self.zones = {settings.zone}  # all that were ever listed: their relays bring clients, servers or not
+        # All zones that were ever listed, in that order: their relays bring clients, servers or not.
+        self.zones = {settings.zone: None}
         self.ready: list[_Server] = []
         self.near: list[_Server] = []  # the ready ones of our zone, where crossings are priced
         self.out: list[_Server] = []
@@ -671,7 +672,7 @@
             # No more balancers can hold something on one server than it has connections.
             if self.quota:
                 self.sharers = min(self.settings.balancers, max(1.0, self.quota / self.first_listed))
-        self.zones.update(line.zone for line in e.servers)
+        self.zones.update((line.zone, None) for line in e.servers)
         for line in e.servers:
             known = self.servers.get(line.name)
             if known is None:
--- a/sageturn/settings.py
+++ b/sageturn/settings.py
@@ -8,6 +8,10 @@
 from typing import Any
 
 from sageturn import interface as api
+from sageturn.sections import ConfigError, Section
+
+TINY = 1e-3  # of figures that must be above 0
+ATTEMPTS_MOST, FIELDS_MOST = 1000, 64
 
 
 def text(value: Any) -> str:
@@ -15,56 +19,66 @@
     return value if isinstance(value, str) else ""
 
 
-def read_settings(conf: dict[str, Any]) -> api.Settings:
-    """Raises KeyError for a missing key and ValueError for a bad value, each naming it."""
-    limits, rules = conf["policyLimits"], conf["guarantees"]
-    info, prices = conf.get("familyInfo") or {}, conf.get("prices") or {}
-    report = conf.get("report") or {}
-    message_aims = info.get("messageAimMs") or []
-    quotas = info.get("tenantQuotaConnections") or []
+def read_settings(conf: dict[str, Any], where: str = "") -> api.Settings:
+    """Raises ConfigError for what is missing or absurd, naming the key. Unknown keys are passed over."""
+    top = Section(conf, where, nulls=True)
+    limits, rules = top.section("policyLimits"), top.section("guarantees")
+    info, prices, report = top.section("familyInfo"), top.section("prices"), top.section("report")
+    message_aims, quotas = info.numbers("messageAimMs"), info.numbers("tenantQuotaConnections")
     classes = tuple(
         api.RequestClass(
-            name=c["name"],
-            aim_ms=c["aimMs"],
-            effect=c.get("semantics", "safe"),
-            scope=c.get("dedupScope") or "all",
-            key_ttl_ms=c.get("keyTtlMs") or 0.0,
+            name=c.get("name", str),
+            aim_ms=c.number("aimMs", least=TINY),
+            effect=c.one_of("semantics", api.EFFECTS, "safe"),
+            scope=c.one_of("dedupScope", api.SCOPES, "all"),
+            key_ttl_ms=c.number("keyTtlMs", 0.0),
             message_aim_ms=message_aims[k] if k < len(message_aims) else 0.0,
+            give_up_ms=c.number("hardLimitMs", 0.0),
         )
-        for k, c in enumerate(conf["classes"])
+        for k, c in enumerate(top.sections("classes"))
     )
     tenants = tuple(
         api.Tenant(
-            name=t["name"],
-            allowance_per_s=t.get("allowancePerS") or 0.0,
+            name=t.get("name", str),
+            allowance_per_s=t.number("allowancePerS", 0.0),
             quota_connections=quotas[k] if k < len(quotas) else 0.0,
         )
-        for k, t in enumerate(conf.get("accounts") or [])
+        for k, t in enumerate(top.sections("accounts", []))
     )
+    for key, parts in (("classes", classes), ("accounts", tenants)):
+        if len({part.name for part in parts}) < len(parts) or (key == "classes" and not parts):
+            raise ConfigError(f"{top.path(key)}: must be different ones, and at least one class")
     return api.Settings(
         classes=classes,
         tenants=tenants,
-        balancers=conf.get("groupSize", 1),
+        balancers=top.whole("groupSize", 1, least=1),
         zone=text(conf.get("zone")),
-        discovery=conf.get("discovery", "push"),
-        max_attempts=limits["sendCap"],
-        may_cancel=limits.get("cancel", False),
-        retry_after=limits.get("retryAfter", False),
-        max_retry_after_ms=limits.get("maxRetryAfterMs", 1000.0),
-        connect_timeout_ms=limits.get("connectTimeoutMs", 250.0),
-        keepalive_ms=limits.get("keepaliveMs", 10000.0),
-        must_ask_in_ms=rules.get("mustAskInMs") or 0.0,
-        fall_multiple=rules["fallMultiple"],
-        fall_ms=rules["fallMs"],
-        cold_from=rules["startCapacity"],
-        warm_within_ms=rules["warmWithinMs"],
-        weights=conf.get("weightKind") or "none",
-        groups=bool(info.get("groups")),
-        price_cross_zone=prices.get("crossZone", 0.0),
-        price_move=prices.get("moves", 0.0),
-        tells_delay=info.get("tellsDelay", True),
-        probes=limits.get("probes", False),
-        price_probe=prices.get("probe", 0.0),
-        reports=report.get("source", "none"),
-        report_fields=tuple(report.get("fields") or ()),
+        discovery=top.one_of("discovery", api.DISCOVERY, "push"),
+        max_attempts=limits.whole("sendCap", least=1, most=ATTEMPTS_MOST),
+        may_cancel=limits.get("cancel", bool, False),
+        retry_after=limits.get("retryAfter", bool, False),
+        max_retry_after_ms=limits.number("maxRetryAfterMs", 1000.0),
+        connect_timeout_ms=limits.number("connectTimeoutMs", 250.0, least=TINY),
+        keepalive_ms=limits.number("keepaliveMs", 10000.0),
+        must_ask_in_ms=rules.number("mustAskInMs", 0.0),
+        fall_multiple=rules.number("fallMultiple", least=TINY),
+        fall_ms=rules.number("fallMs"),
+        cold_from=rules.number("startCapacity", least=TINY, most=1.0),
+        warm_within_ms=rules.number("warmWithinMs"),
+        weights=top.one_of("weightKind", api.WEIGHTS, "none"),
+        groups=info.get("groups", bool, False),
+        price_cross_zone=prices.number("crossZone", 0.0),
+        price_move=prices.number("moves", 0.0),
+        tells_delay=info.get("tellsDelay", bool, True),
+        probes=limits.get("probes", bool, False),
+        price_probe=prices.number("probe", 0.0),
+        reports=report.one_of("source", api.REPORTS, "none"),
+        report_fields=_fields(report),
     )
+
+
+def _fields(report: Section) -> tuple[str, ...]:
+    fields = report.get("fields", list, [])
+    if len(fields) > FIELDS_MOST or not all(isinstance(name, str) for name in fields):
+        raise ConfigError(f"{report.path('fields')}: must be names, {FIELDS_MOST} at most")
+    return tuple(fields)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -229,7 +229,7 @@
     from sageturn.config import ConfigError, load
 
     good = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": {}}
-    faults = (({"listen": "x"}, "listen"), ({"seed": 5}, "seed"), ({}, "settings: policyLimits"))
+    faults = (({"listen": "x"}, "listen"), ({"seed": 5}, "seed"), ({}, "settings.classes: is missing"))
     for change, says_key in faults:
         (tmp_path / "c").write_text(json.dumps({**good, **change}))
         with pytest.raises(ConfigError, match=says_key):
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -105,7 +105,7 @@
         (batch(inbound(1), i=9), "never enlisted"),
         (batch({"Inbound": {"cls": "c"}}), "opId"),
         (batch({"Fleet": {"mode": "Q", "nodesList": []}}), "Q"),
-        (batch({"Enlist": {"entropy": 1, "conf": {**CONF, "groupSize": 0}}}), "balancers"),
+        (batch({"Enlist": {"entropy": 1, "conf": {**CONF, "groupSize": 0}}}), "groupSize: must be from 1"),
     ],
 )
 def test_bad_input_is_named(line: bytes, says: str) -> None:
