Send nothing to a host that began to drain while the connection to it came up

Seen by holding the drain grace against the code: the module stops at once, but a connection may take connectTimeoutMs (250 ms on the second deployment) to come up, and fronts/platform.py wrote the line then, whatever the list had told meanwhile. With a grace of 250 ms and less that breaks the rule. The XMPP front looked already.

Changed: looked at once more when the connection stands; connections that stood there before the relay did are let through.

Tests: a host that drains in that moment gets no request (fails without the change); nothing goes to a host from the millisecond on that its drain is told, under either deployment's figures.

--- a/sageturn/core/endings.py
+++ b/sageturn/core/endings.py
@@ -23,7 +23,7 @@
     CLIENT_LEFT = auto()  # the client closed in order
     CLIENT_RESET = auto()  # the client's connection broke
     CLIENT_FAULT = auto()  # the client did not wait for its answer, and sent more than it may
-    NOT_SENT = auto()  # the relay could not even begin (no address, no descriptor)
+    NOT_SENT = auto()  # the relay could not even begin (no address, no descriptor, or its endpoint drains)
 
 
 _STATUS = {
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -141,6 +141,10 @@
         sock = await connect(address, connect_ms / 1000.0)
         if isinstance(sock, Connect):
             return CONNECT_ENDINGS[sock]
+        if not self._line.ask.standing_at and not self._shared.destinations.ready(endpoint):
+            # It began to drain while the connection came up, which may take as long as the drain's grace.
+            sock.close()
+            return Ending.NOT_SENT
         stands = False
         try:
             try:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -13,11 +13,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from net_peers import Endpoint, ask, first_line, listed, reply, resets, serve_all, up, write_config
+from net_peers import Endpoint, ask, first_line, listed, relaying, reply, resets, serve_all, up, write_config
 
 from sageturn import Balancer, FirstSign, Outcome, Probed, Request, Send, Server, ServerList, SetTimer, Timer
 from sageturn.config import ConfigError, load
 from sageturn.core.drain import stop_times
+from sageturn.core.messages import Listed
 from sageturn.relay import Relay
 from sageturn.settings import read_settings
 
@@ -206,6 +207,57 @@
     assert before.needs_restart(load(env, before=before)) == ["settings"]
 
 
+# ---------------------------------------------------------------- drains
+
+
+def test_nothing_new_goes_to_a_host_from_the_millisecond_on_that_its_drain_is_told() -> None:
+    # 500 ms are allowed on one deployment, 250 on the other: the module needs none of them.
+    for settings in (FERRIES, change(FERRIES, "guarantees.stopSendingWithinMs", 500.0)):
+        balancer = Balancer(read_settings(settings), 3)
+        balancer.handle(0.0, ServerList("full", [Server("a"), Server("b"), Server("c")]))
+        balancer.handle(10.0, ServerList("changes", [Server("a", "draining"), Server("b", "gone")]))
+        sent = set()
+        for k in range(200):
+            now = 10.0 + k
+            for event in (Request(k, "gate", "north", now + 900.0), Outcome(k, 0, "c", "ok", True)):
+                sent |= {a.server for a in balancer.handle(now, event) if isinstance(a, Send)}
+        assert sent == {"c"}
+
+
+@pytest.mark.parametrize("resumed", [False, True])
+def test_a_host_that_drains_while_a_connection_to_it_comes_up_gets_no_request(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, resumed: bool
+) -> None:
+    # A connection may take connectTimeoutMs to come up; its line followed whatever had been told meanwhile.
+    async def go() -> None:
+        from sageturn.fronts import platform
+
+        async with relaying(tmp_path, up, up) as (relay, endpoints):
+            by_port = {e.address[1]: (name, e) for name, e in zip("ab", endpoints, strict=True)}
+            first: list[Endpoint] = []
+            connect = platform.connect
+
+            async def slowly(address: tuple[str, int], timeout_s: float) -> Any:
+                sock = await connect(address, timeout_s)
+                if not first:
+                    name, endpoint = by_port[address[1]]
+                    first.append(endpoint)
+                    drains = [Server(name, "draining")]
+                    await relay.destinations.put(Listed(9, False, drains))
+                    while relay.destinations.version != 9:
+                        await asyncio.sleep(0)
+                return sock
+
+            while relay.destinations.version != 2:  # discovery's own list has come
+                await asyncio.sleep(0.01)
+            monkeypatch.setattr(platform, "connect", slowly)
+            more = ",at=a" if resumed else ""
+            assert await reply(relay.listener.address, first_line(more=more)) == b"UP r1\r\n"
+            assert len([line for line in first[0].lines if line]) == (1 if resumed else 0)
+
+    asyncio.run(asyncio.wait_for(go(), 10))
+
+
 # ---------------------------------------------------------------- a planned stop
 
 
