Let the laboratory's relays move clients of silent hosts when the real ones do

The laboratory's model of a silent host still had the 5 s from before the wait was counted from the endpoint's last word. It takes the platform front's own figures now, so that they cannot drift apart.

--- a/sageturn/lab/world.py
+++ b/sageturn/lab/world.py
@@ -15,6 +15,7 @@
 from hdrh.histogram import HdrHistogram
 
 from sageturn import interface as api
+from sageturn.fronts.platform import BACK_WITHIN_S, MOVE_EARLY_S
 from sageturn.lab.draws import Client, Draws
 from sageturn.lab.host import FULLEST, HostModel
 from sageturn.lab.simrelay import HostNow, Order, StepResult
@@ -24,7 +25,7 @@
 HISTOGRAM = (1, 120_000, 3)  # milliseconds, with three digits
 MESSAGE_MS = 6.0  # at an idle host of the usual size
 LIST_LATE_S = 2.0  # discovery is so late
-MUTE_S = 5.0  # a relay that hears nothing back moves its client after so long
+MUTE_S = BACK_WITHIN_S - MOVE_EARLY_S  # a relay that hears nothing back moves its client after so long
 FLAP_S = 2.0
 STORE_MS = 6.0  # a call to the session store that has nothing else to do
 
