Draw chance for a relief only where its size is not given, and call one check instead of two

Read once more, the whole change: _relieve drew its chance also where the count was given, which it did not before (rules.py); _well was left with one line for two callers; the mode of rebalancing was checked by hand beside Section.one_of, which says the same; a comment in relay.py left out that probes are read in by the settings; tests/test_probing.py repeated a list of imports that stands in three other places.

--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -185,9 +185,7 @@
 
     usual = RebalanceOptions()
     section.only(*RebalanceOptions.__dataclass_fields__)
-    mode = section.get("mode", str, usual.mode)
-    if mode not in MODES:
-        raise ConfigError(f"{section.path('mode')}: must be one of {', '.join(MODES)}")
+    mode = section.one_of("mode", MODES, usual.mode)
     start = section.number("start", usual.start, least=1.01)
     stop = section.number("stop", usual.stop, least=1.0)
     if stop >= start:
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -32,7 +32,7 @@
 from sageturn.store.replica import Replica
 from sageturn.store.store import Store
 
-if TYPE_CHECKING:  # read in once an operator's file turns it on
+if TYPE_CHECKING:  # read in once the settings allow it, or an operator's file turns it on
     from sageturn.net.probes import Prober
     from sageturn.overrides.actor import Overrides
     from sageturn.rebalance.driver import Rebalancer
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -487,7 +487,7 @@
         self._count(s, -1, 0)
         self._set_limit(s, s.limit + (now_ms <= r.aim_ms))
         s.fresh = False
-        self._well(s)
+        s.fails = 0
         if e.took_ms > 0 and s.kind and not s.cold:
             took = log(e.took_ms)
             self.speeds.learn(s.kind, took)
@@ -515,7 +515,7 @@
             self.window.ended(now_ms, now_ms - r.sent_ms, status == "ok")
             if status == "ok":
                 self._set_limit(s, s.limit + 1)
-                self._well(s)
+                s.fails = 0
             elif status in ("full", "connect_failed", "reset", "error", "timeout"):
                 self._set_limit(s, s.limit // 2)
             if status in ("error", "timeout", "connect_failed", "reset"):
@@ -629,17 +629,15 @@
         order = sorted(free, key=lambda r: (members[r.group], weigh * r.load))
         # Every balancer is told at once: where many hold one or two each, one each would empty the server.
         part = min(MOVE_MOST, MOVE_PART + MOVE_MORE * self.settings.balancers)
-        usual = int(len(order) * part + 1.0 / self.sharers + self.rng.random())
-        for r in order[: usual if count is None else count]:
+        if count is None:
+            count = int(len(order) * part + 1.0 / self.sharers + self.rng.random())
+        for r in order[:count]:
             r.done = True
             self._release(s, r)
             self.actions.append(Move(r.id))
 
     # ------------------------------------------------------------ 6 health and list
 
-    def _well(self, s: _Server) -> None:
-        s.fails = 0
-
     def _ill(self, now_ms: float, s: _Server, by: int) -> None:
         """Failures in a row put a server out for a while, but never too many servers at once."""
         s.fails += by
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -14,20 +14,7 @@
 from hypothesis import strategies as st
 from net_peers import SETTINGS, Script, ask, first_line, relaying, reply, resets, says, silent, up
 
-from sageturn import (
-    FirstSign,
-    Move,
-    Outcome,
-    Probe,
-    Probed,
-    RequestClass,
-    Server,
-    ServerList,
-    SetTimer,
-    Settings,
-    Tenant,
-    Timer,
-)
+from sageturn import interface as api
 from sageturn.probing import EACH_MS, HOST_MS, SPEND, Probes
 from sageturn.reports import checked, read_report
 
@@ -38,7 +25,7 @@
 
 
 def make_probes(**change: Any) -> Probes:
-    settings = Settings(classes=(RequestClass("c", 500),), **{**PROBED, **change})
+    settings = api.Settings(classes=(api.RequestClass("c", 500),), **{**PROBED, **change})
     return Probes(settings, 80.0, Random(1))
 
 
@@ -107,7 +94,7 @@
 
 
 def told(relay: Any, server: str, **report: float) -> list[Any]:
-    return relay.tell(Probed(server, "ok", report))
+    return relay.tell(api.Probed(server, "ok", report))
 
 
 def fill(relay: Any, count: int) -> None:
@@ -120,22 +107,23 @@
     without = {"probes": False}, {"reports": "none"}, {"report_fields": ("rps",)}, {"tells_delay": True}
     for change in ({}, *without):
         relay = make([], **{**PROBED, **change})
-        timers = [a.mark for a in relay.tell(ServerList("stale", [Server("a")])) if isinstance(a, SetTimer)]
+        actions = relay.tell(api.ServerList("stale", [api.Server("a")]))
+        timers = [a.mark for a in actions if isinstance(a, api.SetTimer)]
         assert timers == ([] if change else ["probe"])
         if not change:
-            assert relay.tell(Timer("probe"))[0] == Probe("a")
+            assert relay.tell(api.Timer("probe"))[0] == api.Probe("a")
 
 
 def test_a_server_reported_full_takes_nothing_more_and_one_beyond_it_is_relieved_once(make: Any) -> None:
     # Without reports a host at its limit showed only once it broke connections off.
-    relay = make([Server("a"), Server("b")], **PROBED, tenants=(Tenant("t", 90.0),))
+    relay = make([api.Server("a"), api.Server("b")], **PROBED, tenants=(api.Tenant("t", 90.0),))
     fill(relay, 20)
     there = relay.balancer.servers["a"].open
     assert told(relay, "a", x0=0.7, x1=0.0) == [] and not relay.balancer.servers["a"].full()
     told(relay, "a", x0=0.78, x1=0.0)
     assert relay.balancer.servers["a"].full()
     moves = told(relay, "a", x0=1.4, x1=0.4)
-    assert len(moves) in (there // 2, there // 2 + 1) and all(isinstance(a, Move) for a in moves)
+    assert len(moves) in (there // 2, there // 2 + 1) and all(isinstance(a, api.Move) for a in moves)
     relay.now += 500.0
     assert told(relay, "a", x0=1.4, x1=0.4) == []  # no report tells yet what that did
     for _ in range(60):
@@ -146,24 +134,25 @@
 
 
 def test_reports_in_answers_count_and_probe_failures_put_no_server_out(make: Any) -> None:
-    relay = make([Server("a"), Server("b")], **{**PROBED, "reports": "answers"}, tenants=(Tenant("t", 90.0),))
+    settings = {**PROBED, "reports": "answers", "tenants": (api.Tenant("t", 90.0),)}
+    relay = make([api.Server("a"), api.Server("b")], **settings)
     relay.ask()
     name = relay.sent[1][0]
-    relay.tell(Outcome(1, 0, name, "full", False, {"x0": 0.9}))
+    relay.tell(api.Outcome(1, 0, name, "full", False, {"x0": 0.9}))
     assert relay.balancer.servers[name].full()
     for status in ("timeout", "connect_failed", "error", "moot") * 5:
-        relay.tell(Probed("a", status))
-        relay.tell(Probed("zz", status, {"x0": 5.0}))
+        relay.tell(api.Probed("a", status))
+        relay.tell(api.Probed("zz", status, {"x0": 5.0}))
     assert relay.balancer.servers["a"].ready
 
 
 def test_without_reports_for_a_while_the_relays_own_signs_count_again(make: Any) -> None:
-    relay = make([Server("a"), Server("b")], **PROBED)
+    relay = make([api.Server("a"), api.Server("b")], **PROBED)
     assert not relay.balancer._sees_delay()
     told(relay, "a", x0=0.2)
     assert relay.balancer._sees_delay()
     relay.now += 5001.0
-    relay.tell(FirstSign(99, 0, "a"))
+    relay.tell(api.FirstSign(99, 0, "a"))
     assert not relay.balancer._sees_delay()
 
 
@@ -214,13 +203,13 @@
     async def go() -> None:
         async with relaying(tmp_path, script) as (relay, _):
             assert relay.prober is not None
-            heard: asyncio.Queue[Probed] = asyncio.Queue()
+            heard: asyncio.Queue[api.Probed] = asyncio.Queue()
             relay.prober._tell = heard.put
             relay.module.probe = lambda endpoint: None  # the test asks, not the module
             for status, report in outcomes:
                 relay.prober.ask("a")
                 relay.prober.ask("a")  # one at a time
-                assert await heard.get() == Probed("a", status, report)
+                assert await heard.get() == api.Probed("a", status, report)
                 while relay.prober._out:
                     await asyncio.sleep(0)
             assert len(seen) == len(words) and set(seen) == {b"STATS\r\n"} and heard.empty()
@@ -253,9 +242,9 @@
             reader, writer = await ask(relay.listener.address, first_line(more=",r=1"))
             assert await reader.read() == b"UP r\r\nBYE x0=0.25,util=0.5\r\n"
             writer.close()
-            while not any(isinstance(e, Outcome) for e in told):
+            while not any(isinstance(e, api.Outcome) for e in told):
                 await asyncio.sleep(0.01)
-            (ended,) = [e for e in told if isinstance(e, Outcome)]
+            (ended,) = [e for e in told if isinstance(e, api.Outcome)]
             assert (ended.status, ended.report) == ("ok", {"x0": 0.25, "cpu": 0.5})
             assert [e.retried for e in told if hasattr(e, "retried")] == [True]
 
