Look at client, drain and stop in the instant before a request is written

Seen by reading, and forced by tests/test_crossings.py on loopback: a connection to an endpoint comes up after up to connectTimeoutMs; whatever ended meanwhile (the client's FIN or reset lying unread while others had the core, an endpoint back under its id at another address, a stop) was not looked at again before the line was written. At fault: _Peer.call in fronts/platform.py, which asked for a drain only; XMPP asked in a place of its own. Now both fronts ask RequestLife.before_writing, the one place that looks at the client's socket, the drain and the stop, and that knows whether the request may have run.

With it: a request that a stop hurried was answered BUSY whatever may have run (core/requests.py, _attempt). It is now refused only where RequestClass.refusable says so, which the module uses as well; core and module read the same NEVER_RAN. A call called off before its first byte counts as never sent. BUSY proves that nothing ran only as a whole, unspoilt line with nothing behind it.

The list (net/discovery.py): each line was taken for a whole object, so an indented list failed the watch call after call. Objects are now cut out of the stream however it comes (net/objects.py); half an object is no sign of life; entries are checked by type, so none fails the module half way; what came whole before a fault in the same read is told; a watch that dies by any exception is told as failed. Words of a watch that was replaced neither end the new one nor set its version.

--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from sageturn import interface as api
-from sageturn.core.messages import Listed, ListMessage, SourceMoved, WatchFailed, WatchWanted
+from sageturn.core.messages import Listed, ListMessage, SourceMoved, WatchFailed, WatchSaid, WatchWanted
 
 log = logging.getLogger(__name__)
 
@@ -18,7 +18,8 @@
 class Watcher(Protocol):
     """Whatever can hold a watch on the list open; it reports into the destination set's mailbox."""
 
-    def start(self, after_version: int) -> None: ...
+    def start(self, after_version: int) -> int:
+        """Begin a watch in place of the one before; returns the number under which it reports."""
 
 
 class DestinationSet:
@@ -32,13 +33,21 @@
         self.usable = asyncio.Event()
         self.out: Callable[[str], bool] = lambda endpoint: False  # whether an operator took it out of service
         self.watcher: Watcher | None = None
+        self._watch = 0  # the number of the one that is open, or was opened last
 
     async def put(self, message: ListMessage) -> None:
         await self._mailbox.put(message)
 
-    def ready(self, endpoint: str) -> bool:
-        """For a call that takes long to set up: whether the endpoint may still be given work."""
-        return self._states.get(endpoint) == "ready" and not self.out(endpoint)
+    async def hear(self, watch: int, said: Listed | WatchFailed) -> None:
+        await self._mailbox.put(WatchSaid(watch, said))
+
+    def ready(self, endpoint: str, address: tuple[str, int]) -> bool:
+        """For a call that takes long to set up: whether the endpoint may still be given work there.
+
+        One that was gone and is back under its id may be another process by now, at another address.
+        """
+        here = self.addresses.get(endpoint) == address and self._states.get(endpoint) == "ready"
+        return here and not self.out(endpoint)
 
     def want_watch(self) -> None:
         """Called by the module's actor, which must never wait for this one."""
@@ -54,23 +63,30 @@
         while True:
             match await self._mailbox.get():
                 case WatchWanted():
-                    if self.watcher is not None:
-                        self.watcher.start(self.version)
+                    self._start()
                 case SourceMoved():
                     # Its versions need not go on from those of the old one: only a whole list is sure to
                     # tell all. What is known stays in use until it has come.
                     self.version = 0
-                    if self.watcher is not None:
-                        self.watcher.start(self.version)
-                case WatchFailed(why):
-                    log.info("watch: %s", why)
-                    await self._tell(api.ServerList("failed", []))
-                case Listed() as news:
+                    self._start()
+                case WatchSaid(watch, WatchFailed(why)):
+                    # That one which was replaced has failed is no news, and must not end the new one.
+                    log.info("watch: %s%s", why, "" if watch == self._watch else " (replaced)")
+                    if watch == self._watch:
+                        await self._tell(api.ServerList("failed", []))
+                case WatchSaid(watch, Listed() as news):
+                    # What a replaced one had still told is known from then on, but where the next call
+                    # goes on from is the new one's to say: its source may count otherwise.
+                    if watch == self._watch:
+                        self.version = news.version
                     self._take(news)
                     await self._tell(api.ServerList("full" if news.full else "changes", news.servers))
 
+    def _start(self) -> None:
+        if self.watcher is not None:
+            self._watch = self.watcher.start(self.version)
+
     def _take(self, news: Listed) -> None:
-        self.version = news.version
         # Addresses of those gone are kept: a call may be placed in the moment before the module hears.
         self.addresses.update(news.addresses)
         if news.full:
--- a/sageturn/core/endings.py
+++ b/sageturn/core/endings.py
@@ -4,6 +4,8 @@
 
 from enum import Enum, auto
 
+from sageturn.interface import NEVER_RAN
+
 
 class Ending(Enum):
     SERVED = auto()  # the endpoint said that it is done
@@ -51,3 +53,8 @@
 def outcome_status(ending: Ending) -> str:
     """The module's word for an ending; the only place where the two vocabularies meet."""
     return _STATUS[ending]
+
+
+def may_have_run(ending: Ending) -> bool:
+    """By the module's own word on it, so that core and module cannot come to differ."""
+    return outcome_status(ending) not in NEVER_RAN
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -76,6 +76,14 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class WatchSaid:
+    """Word of a watch. One that has been replaced may still have some in the mailbox."""
+
+    watch: int
+    said: Listed | WatchFailed
+
+
 @dataclass(frozen=True, slots=True)
 class WatchWanted:
     """The module asks for changes from here on."""
@@ -86,4 +94,4 @@
     """Discovery is somewhere else now: watch there, from a whole list on."""
 
 
-ListMessage = Listed | WatchFailed | WatchWanted | SourceMoved
+ListMessage = WatchSaid | WatchWanted | SourceMoved
--- a/sageturn/core/module.py
+++ b/sageturn/core/module.py
@@ -37,6 +37,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, clock: Clock, watch: Callable[[], None]) -> None:
         self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
         self.clock = clock
         self._balancer = Balancer(settings, seed)
         self._watch = watch
--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -6,15 +6,19 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from sageturn import interface as api
-from sageturn.core.endings import Ending, outcome_status
+from sageturn.core.endings import Ending, may_have_run, outcome_status
 from sageturn.core.messages import Answer, Ask, EndCall, Instruction, MoveClient, PlaceCall
 from sageturn.core.module import ModuleActor
 from sageturn.core.tasks import end_task
 
+log = logging.getLogger(__name__)
+
 CLIENT_GONE = (Ending.CLIENT_LEFT, Ending.CLIENT_RESET)
 CLIENT_OVER = (*CLIENT_GONE, Ending.CLIENT_FAULT)
 HURRY_RETRY_MS = 250.0  # by then the front sends the client to another relay
@@ -27,7 +31,10 @@
     """One client on one front, as the core sees it."""
 
     async def call(self, endpoint: str, patience_ms: float, connect_ms: float) -> Ending | None:
-        """One outbound call; None when it stands. Cancelled when it is called off: it must then let go."""
+        """One outbound call; None when it stands. Cancelled when it is called off: it must then let go.
+
+        In the moment before it writes the request's first byte it asks its life's ``before_writing``.
+        """
 
     async def drop(self) -> None:
         """Let go of a call that stands after all, though nobody is left to stand at its other side."""
@@ -44,6 +51,9 @@
     async def client_left(self) -> Ending:
         """Returns once the client has gone, or is at fault, while its request is not yet answered."""
 
+    def look_at_client(self) -> Ending | None:
+        """The same, looked up on the spot: its end may lie unread while others have the core."""
+
 
 @dataclass(slots=True)
 class Record:
@@ -78,6 +88,9 @@
         self._answered = False
         self._over = asyncio.Event()
         self._leaving: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
+        self.written = False  # something of the attempt that is out may have been written
+        self._may_have_run = False  # an earlier attempt, or this one
+        self._class = module.classes.get(ask.class_name, module.settings.classes[0])
 
     @property
     def standing(self) -> bool:
@@ -97,6 +110,13 @@
                     )  # fmt: skip
                 )
                 await self._place()
+        except Exception:
+            # No fault of this program may leave a client without its answer, or the module with a ghost.
+            log.exception("request %s failed", ask.wire_id or self.id)
+            await self._module.tell(api.ClientGone(self.id))
+            ending = self.record.ending or Ending.CANCELLED
+            await self._tell_outcome(max(0, self.record.calls - 1), self.record.endpoint, ending, True)
+            await self._final(Answer(refused=False, why="internal"))
         finally:
             await end_task(self._leaving)
             self._module.forget(self.id)
@@ -134,6 +154,7 @@
             await self._stand(attempt, endpoint)
             return True
         self.record.ending = ending
+        self._may_have_run = self._may_have_run or may_have_run(ending)
         if ending in CLIENT_OVER or self._over.is_set():
             # Nothing more is owed to the module's request, but the outcome of its attempt is.
             await self._module.tell(api.ClientGone(self.id))
@@ -141,7 +162,7 @@
             if ending is Ending.CLIENT_FAULT:
                 await self._final(Answer(refused=False, why="wait for the answer"))
             elif ending not in CLIENT_GONE:
-                await self._final(Answer(refused=True, retry_after_ms=HURRY_RETRY_MS, why="shutdown"))
+                await self._final(self._hurried())
             return True
         await self._tell_outcome(attempt, endpoint, ending, False)
         return False
@@ -150,9 +171,32 @@
         status, report = outcome_status(ending), self.record.report
         await self._module.tell(api.Outcome(self.id, attempt, endpoint, status, final, report))
 
+    def _hurried(self) -> Answer:
+        """What a request hears that a stop leaves no more time: a refusal only where that is no lie."""
+        refused = self._class.refusable(self._may_have_run)
+        return Answer(refused, HURRY_RETRY_MS if refused else 0.0, "shutdown")
+
+    def before_writing(self, wanted: Callable[[], bool] | None = None) -> Ending | None:
+        """Why nothing of the request may be written any more, or None; from then on it may have run.
+
+        ``wanted``: whether its endpoint may still be given it. Up to here a connection came up, for as long
+        as a drain's grace, or other work had the core.
+        """
+        if self._leaving.done():
+            return self._leaving.result()
+        if (gone := self._wire.look_at_client()) is not None:
+            return gone
+        if self._over.is_set() or (wanted is not None and not wanted()):
+            return Ending.NOT_SENT
+        self.written = True
+        return None
+
     async def _call(self, endpoint: str, patience_ms: float, connect_ms: float) -> Ending | None:
-        if patience_ms <= 0:
-            return Ending.TIMEOUT
+        self.written = False
+        if self._leaving.done():
+            return self._leaving.result()
+        if patience_ms <= 0 or self._over.is_set():
+            return Ending.NOT_SENT
         over = asyncio.ensure_future(self._over.wait())
         calling = asyncio.ensure_future(self._wire.call(endpoint, patience_ms, min(connect_ms, patience_ms)))
         try:
@@ -163,7 +207,10 @@
                 # Never two at once: the next step waits until this call's connection is closed.
                 calling.cancel()
                 await asyncio.wait((calling,))
-        ending = Ending.CANCELLED if calling.cancelled() else calling.result()
+        if calling.cancelled():
+            ending: Ending | None = Ending.CANCELLED if self.written else Ending.NOT_SENT
+        else:
+            ending = calling.result()
         if self._leaving.done():
             if ending is None:
                 await self._wire.drop()
@@ -233,10 +280,14 @@
             self.record.calls += 1
             left_ms = max(1.0, self._give_up_ms - self._module.clock.now_ms())
             ending = await self._call(ask.standing_at, left_ms, RESUME_CONNECT_MS)
+            if self._over.is_set():
+                break
         if ending is not None:
             self.record.ending = ending
-            if ending not in (Ending.CLIENT_LEFT, Ending.CLIENT_RESET):
-                await self._final(Answer(refused=False, why="lost"))
+            self._may_have_run = may_have_run(ending)
+            if ending not in CLIENT_GONE:
+                lost = Answer(refused=False, why="lost")
+                await self._final(self._hurried() if self._over.is_set() else lost)
             return
         await self._module.tell(
             api.Inherited(
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -7,6 +7,7 @@
 import re
 import socket
 from contextlib import suppress
+from functools import partial
 
 from sageturn.core.endings import Ending
 from sageturn.core.messages import Answer
@@ -138,13 +139,16 @@
         address = self._shared.destinations.addresses.get(endpoint)
         if address is None:
             return Ending.NOT_SENT
+        # What stood there before this relay did goes back there, also while that endpoint drains.
+        wanted = None
+        if not self._line.ask.standing_at:
+            wanted = partial(self._shared.destinations.ready, endpoint, address)
         sock = await connect(address, connect_ms / 1000.0)
         if isinstance(sock, Connect):
             return CONNECT_ENDINGS[sock]
-        if not self._line.ask.standing_at and not self._shared.destinations.ready(endpoint):
-            # It began to drain while the connection came up, which may take as long as the drain's grace.
+        if (held_back := self.life.before_writing(wanted)) is not None:
             sock.close()
-            return Ending.NOT_SENT
+            return held_back
         stands = False
         try:
             try:
@@ -179,6 +183,8 @@
         if _UP.fullmatch(answer, 0, end):
             self._answer = bytes(answer[:filled])
             return None
+        if not _WORD.fullmatch(answer, 0, filled):
+            return Ending.GARBLED  # spoilt, or more came after it: no proof of anything
         return self._ending_of(bytes(answer[:end]), _FIRST_WORDS, Ending.GARBLED)
 
     def _ending_of(self, line: bytes, words: dict[bytes, Ending], other: Ending) -> Ending:
@@ -202,6 +208,19 @@
             self._ahead += waste[:size]
         return Ending.CLIENT_FAULT
 
+    def look_at_client(self) -> Ending | None:
+        while len(self._ahead) < LINE_MOST:
+            try:
+                more = self._client.recv(1024)
+            except BlockingIOError:
+                return None
+            except OSError:
+                return Ending.CLIENT_RESET
+            if not more:
+                return Ending.CLIENT_LEFT
+            self._ahead += more
+        return Ending.CLIENT_FAULT
+
     async def answer(self, answer: Answer) -> None:
         if not answer.refused:
             text = f"ERR {answer.why}\r\n".encode()
@@ -313,6 +332,7 @@
 
 # Strict: a client is served with nothing but what a live host made for it, and a spoilt line is not that.
 _UP = re.compile(rb"UP [ -~]+\r\n")
+_WORD = re.compile(rb"[A-Z]+( [ -~]*)?\r\n")
 _FIRST_WORDS = {
     b"BUSY": Ending.BUSY,
     b"ERR": Ending.ERROR,
--- a/sageturn/fronts/xmpp/dial.py
+++ b/sageturn/fronts/xmpp/dial.py
@@ -41,9 +41,10 @@
 
 class Dialer:
     def __init__(
-        self, session: Session, options: EndpointOptions, wish: Wish, wanted: Callable[[], bool]
+        self, session: Session, options: EndpointOptions, wish: Wish, ask: Callable[[], Ending | None]
     ) -> None:
-        self._session, self._options, self._wish, self._wanted = session, options, wish, wanted
+        """``ask``: asked before the bind is written; an ending if it may not be."""
+        self._session, self._options, self._wish, self._ask = session, options, wish, ask
 
     async def run(self) -> str:
         """Returns the JID that the endpoint bound."""
@@ -61,8 +62,8 @@
         resource = await self._authenticate(features)
         self._session.restart()
         await self._header()
-        if not self._wanted():
-            raise Refusal(Ending.BUSY)  # it began to drain while the relay logged in
+        if (held_back := self._ask()) is not None:
+            raise Refusal(held_back)
         return await self._bind(resource)
 
     async def _stanza(self) -> Element:
--- a/sageturn/fronts/xmpp/front.py
+++ b/sageturn/fronts/xmpp/front.py
@@ -24,7 +24,15 @@
 from sageturn.fronts.xmpp.session import Session
 from sageturn.fronts.xmpp.stream import Closed, Stanza
 from sageturn.net.admission import Newcomer
-from sageturn.net.sockets import CONNECT_ENDINGS, LINGER_S, Connect, close_politely, connect, reset
+from sageturn.net.sockets import (
+    CONNECT_ENDINGS,
+    LINGER_S,
+    Connect,
+    close_politely,
+    connect,
+    has_ended,
+    reset,
+)
 
 log = logging.getLogger(__name__)
 
@@ -97,11 +105,10 @@
 
     async def call(self, endpoint: str, patience_ms: float, connect_ms: float) -> Ending | None:
         until = asyncio.get_running_loop().time() + patience_ms / 1000.0
-        address = self._shared.destinations.addresses.get(endpoint)
-        if address is None:
+        listed = self._shared.destinations.addresses.get(endpoint)
+        if listed is None:
             return Ending.NOT_SENT
-        if self._options.port:
-            address = address[0], self._options.port
+        address = (listed[0], self._options.port) if self._options.port else listed
         sock = await connect(address, connect_ms / 1000.0)
         if isinstance(sock, Connect):
             return CONNECT_ENDINGS[sock]
@@ -109,8 +116,9 @@
         stands = False
         try:
             async with asyncio.timeout_at(until):
-                wanted = partial(self._shared.destinations.ready, endpoint)
-                self._jid = await Dialer(session, self._options.endpoint, self._wish, wanted).run()
+                wanted = partial(self._shared.destinations.ready, endpoint, listed)
+                ask = partial(self.life.before_writing, wanted)
+                self._jid = await Dialer(session, self._options.endpoint, self._wish, ask).run()
             stands = True
         except TimeoutError:
             return Ending.TIMEOUT
@@ -118,7 +126,7 @@
             return refusal.ending
         except OSError:
             # The placement is the bind: until that was written nothing of the request was sent.
-            return Ending.RESET
+            return Ending.RESET if self.life.written else Ending.CUT_BEFORE_WRITTEN
         finally:
             if stands:
                 self._endpoint = session
@@ -139,6 +147,9 @@
             return Ending.CLIENT_RESET
         return Ending.CLIENT_FAULT
 
+    def look_at_client(self) -> Ending | None:
+        return Ending.CLIENT_LEFT if has_ended(self._client.channel.sock) else None
+
     async def answer(self, answer: Answer) -> None:
         await self._client.end(answer_xml(answer))
         await close_politely(self._client.channel.sock)
--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -15,6 +15,7 @@
 DISCOVERY = ("push", "ask")
 WEIGHTS = ("none", "nominal", "rough", "live")
 REPORTS = ("none", "probe", "answers")
+NEVER_RAN = ("full", "connect_failed", "moot")  # outcomes that prove the attempt did nothing
 
 
 def _need(ok: bool, field: str, rule: str) -> None:
@@ -42,6 +43,10 @@
         _need(self.give_up_ms >= 0, "give_up_ms", "must not be negative")
         _need(self.message_aim_ms >= 0, "message_aim_ms", "must not be negative")
 
+    def refusable(self, ran: bool) -> bool:
+        """Whether it may be refused, which says that trying again is harmless; ``ran``: it may have run."""
+        return not ran or self.effect == "safe" or (self.effect == "keyed" and self.scope == "all")
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
--- a/sageturn/net/discovery.py
+++ b/sageturn/net/discovery.py
@@ -5,23 +5,30 @@
 import asyncio
 import json
 import logging
+import math
 import socket
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, NoReturn
 
 import httptools
 
-from sageturn.core.messages import Listed, ListMessage, WatchFailed
+from sageturn.core.messages import Listed, WatchFailed
 from sageturn.core.tasks import end_task
 from sageturn.interface import Server
+from sageturn.net.objects import ObjectCutter
 from sageturn.net.sockets import Connect, connect
 
 log = logging.getLogger(__name__)
 
 CONNECT_S = 1.0
 ANSWER_S = 3.5  # discovery itself fails a call that has waited 3 s
-SILENCE_S = 3.2  # an empty line comes every 2 s; what it has to tell counts as told after 6 s
-LINE_MOST = 4 << 20
+# An empty line comes every 2 s; what it has to tell counts as told after 6 s. Only what is whole is a sign of
+# life: half an object, or white space inside of one, tells nothing.
+SILENCE_S = 3.2
+OBJECT_MOST = 4 << 20
+
+# What a watch says, and which one it was.
+Report = Callable[[int, Listed | WatchFailed], Awaitable[None]]
 
 
 class BadList(ValueError):
@@ -35,30 +42,55 @@
     return host, int(port)
 
 
+def _text(line: dict[str, Any], key: str) -> str:
+    value = line.get(key)
+    if value is not None and not isinstance(value, str):
+        raise BadList(f"{key}: {value!r}")
+    return value or ""
+
+
+def _figure(line: dict[str, Any], key: str, usual: float) -> float:
+    value = line.get(key)
+    if value is None:
+        return usual
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < math.inf:
+        raise BadList(f"{key}: {value!r}")
+    return value or usual
+
+
+def _entry(line: dict[str, Any]) -> Server:
+    state = line["state"]
+    if not _text(line, "id"):
+        raise BadList(f"id: {line['id']!r}")
+    if state not in ("ready", "draining", "gone"):
+        raise BadList(f"state: {state!r}")
+    return Server(
+        name=line["id"],
+        state=state,
+        zone=_text(line, "zone"),
+        cell=int(_figure(line, "cell", 0)),
+        started_at_ms=_figure(line, "started_ms", 0.0),
+        share=_figure(line, "weight", 1.0),
+        kind=_text(line, "kind"),
+    )
+
+
 def read_listed(obj: Any) -> Listed:
-    """Entries are read strictly: half a list believed would be worse than a failed call."""
+    """Read strictly and whole before anything of it is used: half a list believed, or a figure that is none
+    and fails whoever reckons with it, would be worse than a failed call. The last word on an entry counts.
+    """
     try:
-        servers, addresses = [], {}
+        version, full = obj["version"], obj.get("full")
+        if isinstance(version, bool) or not isinstance(version, int):
+            raise BadList(f"version: {version!r}")
+        if full not in (None, True, False):
+            raise BadList(f"full: {full!r}")
+        servers, addresses = {}, {}
         for line in obj["servers"]:
-            name, state = line["id"], line["state"]
-            if not isinstance(name, str):
-                raise BadList(f"id: {name!r}")
-            if state not in ("ready", "draining", "gone"):
-                raise BadList(f"state: {state!r}")
-            if line.get("addr"):
-                addresses[name] = parse_address(line["addr"])
-            servers.append(
-                Server(
-                    name=name,
-                    state=state,
-                    zone=line.get("zone") or "",
-                    cell=line.get("cell") or 0,
-                    started_at_ms=line.get("started_ms") or 0.0,
-                    share=line.get("weight") or 1.0,
-                    kind=line.get("kind") or "",
-                )
-            )
-        return Listed(int(obj["version"]), bool(obj.get("full")), servers, addresses)
+            server = servers[line["id"]] = _entry(line)
+            if address := _text(line, "addr"):
+                addresses[server.name] = parse_address(address)
+        return Listed(version, bool(full), list(servers.values()), addresses)
     except KeyError as error:
         raise BadList(f"missing {error}") from None
     except (TypeError, AttributeError, OverflowError) as error:
@@ -66,23 +98,22 @@
 
 
 class _Answer:
-    """What httptools calls back: collects the body and cuts it into lines."""
+    """What httptools calls back: collects the body, and cuts it into objects."""
 
     def __init__(self) -> None:
-        self.lines: list[bytes] = []
         self.headed = self.complete = False
-        self._tail = bytearray()
+        self.objects: list[bytes] = []
+        self.alive = False  # something whole came, if only an empty line between two objects
+        self._cutter = ObjectCutter(OBJECT_MOST)
 
     def on_headers_complete(self) -> None:
         self.headed = True
 
     def on_body(self, body: bytes) -> None:
-        self._tail += body
-        if len(self._tail) > LINE_MOST:
-            raise BadList("line too long")
-        *lines, rest = self._tail.split(b"\n")
-        self.lines += [bytes(line) for line in lines]
-        self._tail = bytearray(rest)
+        for text in self._cutter.feed(body):
+            self.objects.append(text)
+            self.alive = True
+        self.alive = self.alive or not self._cutter.within
 
     def on_message_complete(self) -> None:
         self.complete = True
@@ -91,14 +122,17 @@
 class DiscoveryClient:
     """Holds at most one watch open, and reports into the destination set's mailbox."""
 
-    def __init__(self, address: tuple[str, int], report: Callable[[ListMessage], Awaitable[None]]) -> None:
+    def __init__(self, address: tuple[str, int], report: Report) -> None:
         self._address, self._report = address, report
         self._task: asyncio.Task[None] | None = None
+        self._count = 0
 
-    def start(self, after_version: int) -> None:
-        old, self._task = self._task, asyncio.ensure_future(self._watch(after_version))
+    def start(self, after_version: int) -> int:
+        self._count += 1
+        old, self._task = self._task, asyncio.ensure_future(self._watch(self._count, after_version))
         if old is not None:
             old.cancel()  # a watch asked for again takes the place of the one before
+        return self._count
 
     def move(self, address: tuple[str, int]) -> None:
         """Where to watch from now on; the watch that is open stays until the next ``start``."""
@@ -107,21 +141,30 @@
     async def stop(self) -> None:
         await end_task(self._task)
 
-    async def _watch(self, after_version: int) -> None:
+    async def _watch(self, number: int, after_version: int) -> None:
+        try:
+            why = await self._call(number, after_version)
+        except Exception as error:
+            # Whatever it was, a watch that ended untold would leave the relay with an old list for good.
+            log.exception("the watch failed")
+            why = f"{type(error).__name__}: {error}"
+        await self._report(number, WatchFailed(why))
+
+    async def _call(self, number: int, after_version: int) -> str:
+        """One call to its end, which is always a failure; returns why."""
         sock = await connect(self._address, CONNECT_S)
         if isinstance(sock, Connect):
-            await self._report(WatchFailed(f"connect: {sock.name.lower()}"))
-            return
+            return f"connect: {sock.name.lower()}"
         try:
-            await self._follow(sock, after_version)
+            await self._follow(sock, number, after_version)
         except TimeoutError:
-            await self._report(WatchFailed("silent"))
+            return "silent"
         except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
-            await self._report(WatchFailed(f"{type(error).__name__}: {error}"))
+            return f"{type(error).__name__}: {error.__context__ or error}"
         finally:
             sock.close()
 
-    async def _follow(self, sock: socket.socket, after_version: int) -> None:
+    async def _follow(self, sock: socket.socket, number: int, after_version: int) -> NoReturn:
         loop = asyncio.get_running_loop()
         host = f"{self._address[0]}:{self._address[1]}"
         call = f"GET /v1/endpoints?stream=1&index={after_version} HTTP/1.1\r\nHost: {host}\r\n\r\n"
@@ -131,21 +174,30 @@
         buffer = bytearray(65536)
         view = memoryview(buffer)
         listed, asked_s = False, loop.time()
+        until = asked_s + ANSWER_S
         while True:
-            async with asyncio.timeout(SILENCE_S if listed else ANSWER_S):
+            async with asyncio.timeout_at(until):
                 size = await loop.sock_recv_into(sock, buffer)
             if not size:
                 raise ConnectionError("ended")
-            parser.feed_data(view[:size])
+            fault: httptools.HttpParserError | None = None
+            try:
+                parser.feed_data(view[:size])
+            except httptools.HttpParserError as error:
+                fault = error  # what came whole before it has been told all the same
             if answer.headed and parser.get_status_code() != 200:
                 raise ConnectionError(f"answered {parser.get_status_code()}")
-            for line in answer.lines:
-                if line.strip():
-                    news = read_listed(json.loads(line))
-                    if not listed:
-                        log.info("watch: version %d after %.3f s", news.version, loop.time() - asked_s)
-                    await self._report(news)
-                    listed = True
-            answer.lines.clear()
+            for text in answer.objects:
+                news = read_listed(json.loads(text))
+                if not listed:
+                    log.info("watch: version %d after %.3f s", news.version, loop.time() - asked_s)
+                await self._report(number, news)
+                listed = True
+            answer.objects.clear()
+            if fault is not None:
+                raise fault
+            if listed and answer.alive:
+                until = loop.time() + SILENCE_S
+            answer.alive = False
             if answer.complete:
                 raise ConnectionError("the answer was complete")
--- a/sageturn/net/sockets.py
+++ b/sageturn/net/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import resource
+import select
 import socket
 import struct
 from collections.abc import Sequence
@@ -84,6 +85,14 @@
         sent = 0
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Whether the other side has ended or reset it, though what it said before may still lie unread."""
+    ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    poll = select.poll()
+    poll.register(sock, ends)
+    return any(mask & ends for _, mask in poll.poll(0))
+
+
 def end_sending(sock: socket.socket) -> None:
     with suppress(OSError):  # the other side has reset it: there is nobody left to tell
         sock.shutdown(socket.SHUT_WR)
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -58,7 +58,7 @@
         )
         if self.overrides is not None:
             self.destinations.out = self.overrides.out
-        self.discovery = DiscoveryClient(config.discovery, self.destinations.put)
+        self.discovery = DiscoveryClient(config.discovery, self.destinations.hear)
         self.destinations.watcher = self.discovery
         self.lives = Lives(stop_times(config.settings.classes))
         self._actors: list[asyncio.Future[None]] = []
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -13,8 +13,8 @@
 from zlib import crc32
 
 from sageturn.interface import (
-    Action, Cancel, ClientGone, Event, Fail, FirstSign, Inherited, Move, Note, Outcome, Probe, Probed, Refuse,
-    Request, RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
+    NEVER_RAN, Action, Cancel, ClientGone, Event, Fail, FirstSign, Inherited, Move, Note, Outcome, Probe,
+    Probed, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
 from sageturn.probing import LOOK_MS, Probes
 from sageturn.shares import (
@@ -33,7 +33,6 @@
 BURST_S = 2.0  # a bucket holds what one fair share brings in this time
 BURST_LEAST = 2.0  # and always a pair, so that a lone tenant's two tabs both open
 RETRY_LEAST_MS = 100.0  # shortest advice on when to come again
-NEVER_RAN = ("full", "connect_failed", "moot")  # outcomes that prove the attempt did nothing
 SUSPECT = 3  # failures in a row that put a server out; a failed connect counts double
 OUT_MS = 1500.0  # time out; back then, its next failure puts it out again
 OUT_SHARE = 0.34  # never more of the listed ready servers out than this
@@ -466,9 +465,7 @@
 
     def _end(self, r: _Request, retry_after_ms: float) -> None:
         """The final answer: a refusal where the effect rule lets us promise harmlessness."""
-        effect = r.cls.effect
-        harmless = r.ran_ms < 0 or effect == "safe" or (effect == "keyed" and r.cls.scope == "all")
-        if harmless:
+        if r.cls.refusable(r.ran_ms >= 0):
             top = self.settings.max_retry_after_ms
             advice = min(top, max(RETRY_LEAST_MS, retry_after_ms) * (0.75 + 0.5 * self.rng.random()))
             self.actions.append(Refuse(r.id, advice if self.settings.retry_after and retry_after_ms else 0.0))
--- a/tests/net_peers.py
+++ b/tests/net_peers.py
@@ -159,7 +159,7 @@
 
 @asynccontextmanager
 async def relaying(
-    folder: Path, *scripts: Script, operator: dict[str, Any] | None = None
+    folder: Path, *scripts: Script, operator: dict[str, Any] | None = None, **more: Any
 ) -> AsyncIterator[tuple[Relay, list[Endpoint]]]:
     """A relay whose list names one endpoint for each script, in the order a, b, c."""
     file = folder / "operator.json"
@@ -168,7 +168,7 @@
     async with AsyncExitStack() as stack:
         names, discovery = await serve_all(stack, endpoints)
         known = listed(names) if names else None
-        env = {"GW_CONFIG": str(write_config(folder, discovery.address, known))}
+        env = {"GW_CONFIG": str(write_config(folder, discovery.address, known, **more))}
         relay = Relay(load(env, str(file)), partial(load, env, str(file)))
         relay.start()
         stack.push_async_callback(relay.stop)
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,179 @@
+"""Instants in which something ends while more is still owed: each is forced, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from pathlib import Path
+from typing import Any
+
+import pytest
+from net_peers import SETTINGS, ask, first_line, relaying, silent, up
+
+from sageturn.core.endings import Ending
+from sageturn.core.messages import Listed
+from sageturn.fronts import platform
+from sageturn.interface import Server
+from sageturn.relay import Relay
+
+
+def story(coro: Any) -> None:
+    asyncio.run(asyncio.wait_for(coro, 20))
+
+
+async def until(true: Any) -> None:
+    while not true():
+        await asyncio.sleep(0.005)
+
+
+def nothing_left(relay: Relay) -> bool:
+    balancer = relay.module._balancer
+    idle = all(s.open == s.pending == 0 for s in balancer.servers.values())
+    return not relay.lives and not relay.module._requests and not balancer.requests and idle
+
+
+# ---------------------------------------------------------------- just before the first byte is written
+
+
+def leave_by_fin(client: socket.socket, relay: Relay, name: str) -> None:
+    client.close()
+
+
+def leave_by_reset(client: socket.socket, relay: Relay, name: str) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def leave_with_words(client: socket.socket, relay: Relay, name: str) -> None:
+    client.sendall(b"M 1\r\n")
+    client.close()
+
+
+def drained(client: socket.socket, relay: Relay, name: str) -> None:
+    relay.destinations._take(Listed(3, False, [Server(name, "draining")]))
+
+
+def gone(client: socket.socket, relay: Relay, name: str) -> None:
+    relay.destinations._take(Listed(3, False, [Server(name, "gone")]))
+
+
+def moved(client: socket.socket, relay: Relay, name: str) -> None:
+    news = [Server(name, "ready", started_at_ms=1.0)]
+    relay.destinations._take(Listed(3, False, news, {name: ("127.0.0.1", 9)}))
+
+
+def hurried(client: socket.socket, relay: Relay, name: str) -> None:
+    for life in relay.lives:
+        life.hurry()
+
+
+BEFORE_WRITING = [leave_by_fin, leave_by_reset, leave_with_words, drained, gone, moved, hurried]
+
+
+@pytest.mark.parametrize("end", BEFORE_WRITING, ids=lambda end: end.__name__)
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_nothing_is_sent_once_its_end_has_come_while_a_connection_came_up(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, end: Any, attempt: int
+) -> None:
+    # A client's FIN lay unread while the core was busy, and its line followed it 0.3 s later. The loop does
+    # not turn between the end and the write here, so only a look at that very moment can see it.
+    async def go() -> None:
+        async with relaying(tmp_path, up, up) as (relay, endpoints):
+            await until(lambda: relay.destinations.version == 2)
+            by_port = {e.address[1]: (name, e) for name, e in zip("ab", endpoints, strict=True)}
+            connect, calls, at = platform.connect, 0, list[Any]()
+
+            async def comes_up(address: tuple[str, int], timeout_s: float) -> Any:
+                nonlocal calls
+                calls += 1
+                if calls < attempt:
+                    return platform.Connect.NEVER_UP
+                sock = await connect(address, timeout_s)
+                if not at:
+                    name, endpoint = by_port[address[1]]
+                    at.append(endpoint)
+                    end(client, relay, name)
+                return sock
+
+            monkeypatch.setattr(platform, "connect", comes_up)
+            records: list[Any] = []
+            monkeypatch.setattr(relay.shared, "ended", records.append)
+            client = socket.create_connection(relay.listener.address)
+            client.sendall(first_line())
+            await until(lambda: at)
+            if end in (drained, gone, moved):  # it is served all the same, at the other one
+                client.settimeout(5)
+                assert (await asyncio.to_thread(client.recv, 99)) == b"UP r1\r\n"
+                client.close()
+            elif end is hurried:
+                assert (await asyncio.to_thread(client.recv, 99)) == b"BUSY 250\r\n"
+                client.close()
+            await until(lambda: records and nothing_left(relay))
+            assert not any(at[0].lines), end.__name__
+            if end.__name__.startswith("leave"):
+                assert records[0].ending in (Ending.CLIENT_LEFT, Ending.CLIENT_RESET)
+                assert calls == attempt and not any(line for e in endpoints for line in e.lines)
+
+    story(go())
+
+
+# ---------------------------------------------------------------- a stop, and what may have run
+
+
+def deployment(effect: str, scope: str) -> dict[str, Any]:
+    cls = {"name": "c", "aimMs": 900.0, "hardLimitMs": 1800.0, "semantics": effect, "dedupScope": scope}
+    return {**SETTINGS, "classes": [{**cls, "keyTtlMs": 5000.0}]}
+
+
+@pytest.mark.parametrize("ran", [False, True])
+@pytest.mark.parametrize(
+    "effect,scope,refused",
+    [("safe", "all", True), ("keyed", "all", True), ("keyed", "zone", False), ("unsafe", "all", False)],
+)
+def test_a_stop_refuses_only_what_cannot_have_run_or_may_be_repeated(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, effect: str, scope: str, refused: bool, ran: bool
+) -> None:
+    # Every request that a stop hurried heard BUSY, which says that trying again is harmless.
+    async def go() -> None:
+        async with relaying(tmp_path, silent, settings=deployment(effect, scope)) as (relay, (endpoint,)):
+            await until(lambda: relay.destinations.version == 2)
+            if not ran:
+                held = asyncio.Event()
+
+                async def never_up(address: tuple[str, int], timeout_s: float) -> Any:
+                    held.set()
+                    await asyncio.sleep(3600)
+
+                monkeypatch.setattr(platform, "connect", never_up)
+            reader, writer = await ask(relay.listener.address, first_line())
+            if ran:
+                await until(lambda: endpoint.lines)
+            else:
+                await held.wait()
+            for life in relay.lives:
+                life.hurry()
+            word = await reader.read()
+            assert word == (b"BUSY 250\r\n" if refused or not ran else b"ERR shutdown\r\n")
+            writer.close()
+            await until(lambda: nothing_left(relay))
+
+    story(go())
+
+
+@pytest.mark.parametrize("text", [b"BUSY\n", b"BUSY \xff\r\n", b"BUSY\r\nUP r1\r\n", b"BUSYX\r\n", b"BUSY"])
+def test_a_spoilt_busy_proves_nothing(tmp_path: Path, text: bytes) -> None:
+    # Only a whole BUSY says that it never ran: on any other word an unsafe request is not sent again.
+    async def spoilt(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, line: bytes) -> None:
+        writer.write(text)
+
+    async def go() -> None:
+        unsafe = deployment("unsafe", "all")
+        async with relaying(tmp_path, spoilt, spoilt, settings=unsafe) as (relay, endpoints):
+            reader, writer = await ask(relay.listener.address, first_line())
+            assert (await reader.read()).startswith(b"ERR")
+            assert sum(len(e.lines) for e in endpoints) == 1
+            writer.close()
+            await until(lambda: nothing_left(relay))
+
+    story(go())
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -243,7 +243,7 @@
                     name, endpoint = by_port[address[1]]
                     first.append(endpoint)
                     drains = [Server(name, "draining")]
-                    await relay.destinations.put(Listed(9, False, drains))
+                    await relay.destinations.hear(relay.destinations._watch, Listed(9, False, drains))
                     while relay.destinations.version != 9:
                         await asyncio.sleep(0)
                 return sock
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -40,6 +40,9 @@
         await self.left.wait()
         return Ending.CLIENT_LEFT
 
+    def look_at_client(self) -> Ending | None:
+        return Ending.CLIENT_LEFT if self.left.is_set() else None
+
     async def drop(self) -> None:
         self.did.append("drop")
 
--- /dev/null
+++ b/tests/test_list.py
@@ -0,0 +1,162 @@
+"""The list as it comes: in any pieces, indented, spoilt half way; and words of watches that were replaced."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from net_peers import Discovery, served
+
+from sageturn.core.destinations import DestinationSet
+from sageturn.core.messages import Listed, SourceMoved, WatchFailed, WatchWanted
+from sageturn.interface import ServerList
+from sageturn.net import discovery as net
+from sageturn.net.discovery import BadList, DiscoveryClient, read_listed
+from sageturn.net.objects import NoObject, ObjectCutter
+
+TEXTS = st.text(st.sampled_from('ab{}[]"\\\n é'), max_size=8)
+VALUES = st.recursive(TEXTS | st.integers(), lambda v: st.lists(v) | st.dictionaries(TEXTS, v), max_leaves=6)
+OBJECTS = st.dictionaries(TEXTS, VALUES, max_size=4)
+
+
+@given(st.lists(st.tuples(OBJECTS, st.sampled_from([None, 1, 4])), max_size=5), st.data())
+def test_objects_come_out_whole_however_they_are_cut_and_indented(
+    objects: list[Any], data: st.DataObject
+) -> None:
+    # Each line was taken for a whole object: an indented list failed the watch, call after call.
+    text = b"".join(b"\r\n" + json.dumps(o, indent=i, ensure_ascii=False).encode() for o, i in objects)
+    cuts = sorted(data.draw(st.lists(st.integers(0, len(text)), max_size=12)))
+    cutter, found = ObjectCutter(1 << 20), []
+    for start, end in zip([0, *cuts], [*cuts, len(text)], strict=True):
+        found += cutter.feed(text[start:end])
+    assert [json.loads(t) for t in found] == [o for o, _ in objects] and not cutter.within
+
+
+@pytest.mark.parametrize("text", [b"[", b"null", b"}", b'{"a":1},', b'"{}"', b"{" + b" " * 200])
+def test_what_can_be_no_object_is_refused_at_once(text: bytes) -> None:
+    with pytest.raises(NoObject):
+        list(ObjectCutter(100).feed(text))
+
+
+def entry(**more: Any) -> dict[str, Any]:
+    return {"id": "a", "addr": "127.0.0.1:9", "state": "ready", **more}
+
+
+@pytest.mark.parametrize("key,bad", [
+    ("started_ms", "soon"), ("started_ms", float("nan")), ("weight", []), ("weight", -1), ("zone", 3),
+    ("kind", {}), ("cell", "x"), ("addr", 7), ("addr", "nowhere"), ("id", ""), ("id", 4), ("state", None),
+])  # fmt: skip
+def test_an_entry_in_error_is_refused_by_its_key_and_takes_no_half_effect(key: str, bad: Any) -> None:
+    # A start told as text was believed, and failed the module half way through the list.
+    with pytest.raises((BadList, ValueError)) as found:
+        read_listed({"version": 3, "full": True, "servers": [entry(id="b"), entry(**{key: bad})]})
+    assert key in str(found.value) or str(bad) in str(found.value)
+
+
+@pytest.mark.parametrize("top", [{"version": "3"}, {"version": True}, {"full": "no"}, {"servers": None}])
+def test_a_list_in_error_is_refused(top: dict[str, Any]) -> None:
+    with pytest.raises(BadList):
+        read_listed({"version": 3, "full": True, "servers": [entry()], **top})
+
+
+# ---------------------------------------------------------------- on the wire
+
+
+def answer(*pieces: bytes) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces)
+
+
+def said(*answers: bytes, count: int, monkeypatch: pytest.MonkeyPatch, silence_s: float = 9.0) -> list[Any]:
+    """The first words of a watch, one call only."""
+    monkeypatch.setattr(net, "ANSWER_S", silence_s)
+    monkeypatch.setattr(net, "SILENCE_S", silence_s)
+
+    async def go() -> list[Any]:
+        words: asyncio.Queue[Any] = asyncio.Queue()
+        peer = Discovery(*answers)
+        async with served(peer):
+            client = DiscoveryClient(peer.address, lambda _, word: words.put(word))
+            client.start(0)
+            try:
+                return [await asyncio.wait_for(words.get(), 5) for _ in range(count)]
+            finally:
+                await client.stop()
+
+    return asyncio.run(go())
+
+
+def test_an_indented_list_is_read_in_whatever_chunks_it_comes(monkeypatch: pytest.MonkeyPatch) -> None:
+    text = json.dumps({"version": 7, "full": True, "servers": [entry(), entry(id="b")]}, indent=2).encode()
+    pieces = [text[k : k + 7] for k in range(0, len(text), 7)]
+    (news,) = said(answer(*pieces), count=1, monkeypatch=monkeypatch)
+    assert news.version == 7 and [s.name for s in news.servers] == ["a", "b"]
+
+
+def test_what_came_whole_before_a_fault_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Discovery has written it, so it counts as told, whatever follows in the same read.
+    good = json.dumps({"version": 7, "servers": [entry(state="draining")]}).encode()
+    for fault in (answer(good + b"\n]") + b"#", answer(good) + b"zz\r\n#"):
+        news, failed = said(fault, count=2, monkeypatch=monkeypatch)
+        assert news.servers[0].state == "draining" and isinstance(failed, WatchFailed)
+
+
+@pytest.mark.parametrize("half", [b'{"version":7,\n', b'{"version":7,"servers":[{"id":"a{'])
+def test_half_an_object_is_no_sign_of_life(half: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def dribbles(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer(b'{"version":6,"servers":[]}\n', half))
+        while not reader.at_eof():
+            writer.write(b"1\r\n\n\r\n")
+            await asyncio.wait((asyncio.ensure_future(reader.read(1)),), timeout=0.02)
+        writer.close()
+
+    monkeypatch.setattr(Discovery, "serve", lambda self, r, w: dribbles(r, w))
+    news, failed = said(b"", count=2, monkeypatch=monkeypatch, silence_s=0.3)
+    assert news.version == 6 and failed == WatchFailed("silent")
+
+
+def test_a_watch_that_ends_by_a_fault_of_the_program_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Such a watch ended unseen, and the relay went by its old list for good.
+    monkeypatch.setattr(net, "read_listed", lambda obj: 1 / 0)
+    (failed,) = said(answer(b"{}"), count=1, monkeypatch=monkeypatch)
+    assert "ZeroDivisionError" in failed.why
+
+
+# ---------------------------------------------------------------- words of a watch that was replaced
+
+
+class Watches:
+    def __init__(self) -> None:
+        self.begun: list[int] = []
+
+    def start(self, after_version: int) -> int:
+        self.begun.append(after_version)
+        return len(self.begun)
+
+
+def test_words_of_a_replaced_watch_neither_end_the_new_one_nor_set_its_version() -> None:
+    async def go() -> None:
+        told: asyncio.Queue[ServerList] = asyncio.Queue()
+        here = ("127.0.0.1", 9)
+        known = read_listed({"version": 5, "full": True, "servers": [entry()]})
+        destinations = DestinationSet(known, told.put)  # type: ignore[arg-type]
+        destinations.watcher = watches = Watches()
+        actor = asyncio.ensure_future(destinations.run())
+        await destinations.put(WatchWanted())
+        await destinations.put(SourceMoved())
+        drains = read_listed({"version": 900, "servers": [entry(state="draining")]})
+        await destinations.hear(1, drains)
+        await destinations.hear(1, WatchFailed("ended"))
+        await destinations.put(WatchWanted())
+        await destinations.hear(3, Listed(8, True, [], {}))
+        kinds = [(await told.get()).kind for _ in range(3)]
+        assert kinds == ["stale", "changes", "full"] and watches.begun == [5, 0, 0]
+        assert not destinations.ready("a", here) and destinations.version == 8
+        actor.cancel()
+
+    asyncio.run(asyncio.wait_for(go(), 5))
--- a/tests/test_overrides_relay.py
+++ b/tests/test_overrides_relay.py
@@ -114,7 +114,8 @@
             await until(lambda: told() == {"o1": 1, "o2": 1})
             two.store.put(*record(said("o1", None, word="revoke", revision=2)))  # type: ignore[arg-type]
             await until(lambda: not one.destinations.out("a"))
-            assert not one.destinations.ready("b") and one.destinations.ready("a")
+            at = one.destinations.addresses
+            assert not one.destinations.ready("b", at["b"]) and one.destinations.ready("a", at["a"])
 
     story(go())
 
