Answer all who come while a stop shuts its doors, and open lost or pushed watches at once

Pushed lists. Cause: with discovery = push nobody ever asked for a watch (rules.py asks only where lists are asked for), so on sockets such a relay lived on the list of its start. The destination set now opens a watch at once where lists are pushed, and CallPace asks an agent again after 0.1 s.

Lost watches. A watch that stood and is over is now told apart (WatchFailed.stood, list kind "lost") and opened anew within 1.8 s, once per mustAskInMs.

A stop (core/drain.py, net/listener.py, relay.py): - the listening socket was closed over its backlog; now whoever the machine has taken is taken and answered, without a turn of the loop in between. Accepting no longer waits inside the accept, so ending the task loses nobody; - a request that came after everyone had been told to hurry was placed, stood and was cut off; it is answered BUSY; - the loop left after 0.6 s though some had not yet asked; it waits for them; - connections that lingered were held past the last signal; they are let go at the end; - SIGTERM before the relay listens ended it by the signal; it is held back and ends it well; - an actor begun later, or failing during the stop, went unseen.

MOVE that finds no room: the client was cut off without a word after 0.7 s. It stays until it reads, is over by itself, or there is no more time (Ending.CUT_OFF); nothing follows a MOVE. MOVE_S 0.4: within the 0.5 s that a stop leaves. One evicted as its line became whole was closed over the unread line; the reset for that could destroy its answer.

--- a/sageturn/__main__.py
+++ b/sageturn/__main__.py
@@ -12,13 +12,13 @@
 import uvloop
 
 from sageturn import config
-from sageturn.relay import Relay
+from sageturn.relay import SIGNALS, Relay
 from sageturn.store.log import Damaged
 
 
 def main() -> int:
-    # Its usual effect is to end the process. Held back until the relay can read its configuration again.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Their usual effect is to end the process at once. Held back until the relay can do what they ask for.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     parser = argparse.ArgumentParser(prog="sageturn", description="A relay for long-lived connections.")
     parser.add_argument("--operator", metavar="FILE", help="an operator's file, such as deploy/xmpp.json")
     options = parser.parse_args()
--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -23,10 +23,13 @@
 
 
 class DestinationSet:
-    def __init__(self, known: Listed, tell: Callable[[api.Event], Awaitable[None]]) -> None:
+    def __init__(
+        self, known: Listed, tell: Callable[[api.Event], Awaitable[None]], pushed: bool = False
+    ) -> None:
+        """``pushed``: changes come unasked for. On sockets a watch brings them, open at once."""
         self._mailbox: asyncio.Queue[ListMessage] = asyncio.Queue(MAILBOX)
         self._tell = tell
-        self._known = known
+        self._known, self._pushed = known, pushed
         self.version = known.version
         self.addresses = dict(known.addresses)
         self._states = {s.name: s.state for s in known.servers}
@@ -60,6 +63,8 @@
     async def run(self) -> None:
         self._see_usable()
         await self._tell(api.ServerList("stale", self._known.servers))
+        if self._pushed:
+            self._start()
         while True:
             match await self._mailbox.get():
                 case WatchWanted():
@@ -69,11 +74,11 @@
                     # tell all. What is known stays in use until it has come.
                     self.version = 0
                     self._start()
-                case WatchSaid(watch, WatchFailed(why)):
+                case WatchSaid(watch, WatchFailed(why, stood)):
                     # That one which was replaced has failed is no news, and must not end the new one.
                     log.info("watch: %s%s", why, "" if watch == self._watch else " (replaced)")
                     if watch == self._watch:
-                        await self._tell(api.ServerList("failed", []))
+                        await self._tell(api.ServerList("lost" if stood else "failed", []))
                 case WatchSaid(watch, Listed() as news):
                     # What a replaced one had still told is known from then on, but where the next call
                     # goes on from is the new one's to say: its source may count otherwise.
--- a/sageturn/core/drain.py
+++ b/sageturn/core/drain.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 from sageturn.core.requests import RequestLife
 from sageturn.interface import RequestClass
@@ -17,6 +18,7 @@
 # The last signal comes no sooner than so long after the longest deadline, which counts as 3 s at the most.
 LAST_SIGNAL_S, DEADLINE_MOST_S = 0.7, 3.0
 EARLY_S = 0.3  # everything has ended so long before it,
+STEP_S = 0.05
 HURRY_S = 0.5  # and whoever is left is answered and moved at once so long before that
 MOVE_PART = 0.735  # of the time until then clients are moved: moved ones may need a second try elsewhere
 
@@ -40,15 +42,26 @@
     return StopTimes(from_s, (hurry_s - from_s) * MOVE_PART, hurry_s, leave_s)
 
 
+class Doors(Protocol):
+    """Where clients come in, and are before they have asked for anything."""
+
+    def unasked(self) -> int:
+        """How many have come that have not asked yet."""
+
+    def shut(self) -> None:
+        """Take whoever has come, and nobody more; who has not asked by now is answered at once."""
+
+    async def finish(self, patience_s: float) -> None:
+        """Returns once nobody is left inside, or after so long."""
+
+
 class Lives:
     """All requests that the relay has, on every front."""
 
     def __init__(self, times: StopTimes) -> None:
         self._times = times
         self._lives: set[RequestLife] = set()
-        self.stopping = False
-        self._empty = asyncio.Event()
-        self._empty.set()
+        self.stopping = self._hurrying = False
 
     def __len__(self) -> int:
         return len(self._lives)
@@ -58,32 +71,34 @@
 
     def add(self, life: RequestLife) -> None:
         self._lives.add(life)
-        self._empty.clear()
+        if self._hurrying:  # it came in the last moment: it is answered, but not placed any more
+            life.leave()
+            life.hurry()
 
     def remove(self, life: RequestLife) -> None:
         self._lives.discard(life)
-        if not self._lives:
-            self._empty.set()
 
-    async def drain(self) -> None:
+    async def drain(self, doors: Doors) -> None:
         """Returns once nothing is left, or when it is high time to go."""
         self.stopping = True
         times = self._times
         loop = asyncio.get_running_loop()
         began = loop.time()
         await asyncio.sleep(times.move_from_s)
-        while self._lives and loop.time() - began < times.hurry_at_s:
+        while loop.time() - began < times.hurry_at_s:
             standing = [life for life in self._lives if life.standing and not life.stop.is_set()]
-            steps_left = max(1.0, (times.move_from_s + times.over_s - (loop.time() - began)) / 0.05)
+            steps_left = max(1.0, (times.move_from_s + times.over_s - (loop.time() - began)) / STEP_S)
             for life in standing[: max(1, round(len(standing) / steps_left))]:
                 life.leave()
-            await asyncio.sleep(0.05)
-            if self._empty.is_set() and loop.time() - began > ACCEPT_S:
+            await asyncio.sleep(STEP_S)
+            if not self._lives and not doors.unasked() and loop.time() - began > ACCEPT_S:
                 break
+        # Whoever has been taken is answered, also who came in this instant; nobody is taken from here on.
+        self._hurrying = True
+        doors.shut()
         for life in list(self._lives):
             life.leave()
             life.hurry()
-        try:
-            await asyncio.wait_for(self._empty.wait(), max(0.1, began + times.leave_at_s - loop.time()))
-        except TimeoutError:
+        await doors.finish(max(0.1, began + times.leave_at_s - loop.time()))
+        if self._lives:
             log.error("%d connections were still held at the end", len(self._lives))
--- a/sageturn/core/endings.py
+++ b/sageturn/core/endings.py
@@ -22,6 +22,7 @@
     MUTE = auto()  # a standing connection brings nothing back
     CANCELLED = auto()  # the module called the attempt off
     MOVED = auto()  # the module, or a shutdown, sent the client elsewhere
+    CUT_OFF = auto()  # it was to be moved, but took no word of it while there was time
     CLIENT_LEFT = auto()  # the client closed in order
     CLIENT_RESET = auto()  # the client's connection broke
     CLIENT_FAULT = auto()  # the client did not wait for its answer, and sent more than it may
@@ -43,6 +44,7 @@
     Ending.MUTE: "reset",
     Ending.CANCELLED: "cancelled",
     Ending.MOVED: "cancelled",
+    Ending.CUT_OFF: "cancelled",
     Ending.CLIENT_LEFT: "cancelled",
     Ending.CLIENT_RESET: "cancelled",
     Ending.CLIENT_FAULT: "cancelled",
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -74,6 +74,7 @@
     """A watch could not be had, or broke; ``why`` is for the log."""
 
     why: str
+    stood: bool = False  # it had told the list, and was open
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -86,7 +86,7 @@
         self.stop = asyncio.Event()  # set by a move or a shutdown: the client is to go elsewhere
         self._give_up_ms = self.record.began_ms + max(0.0, ask.wait_ms - ANSWER_EARLY_MS)
         self._answered = False
-        self._over = asyncio.Event()
+        self.over = asyncio.Event()  # a stop has come to its end: what is still owed is owed at once
         self._leaving: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
         self.written = False  # something of the attempt that is out may have been written
         self._may_have_run = False  # an earlier attempt, or this one
@@ -155,7 +155,7 @@
             return True
         self.record.ending = ending
         self._may_have_run = self._may_have_run or may_have_run(ending)
-        if ending in CLIENT_OVER or self._over.is_set():
+        if ending in CLIENT_OVER or self.over.is_set():
             # Nothing more is owed to the module's request, but the outcome of its attempt is.
             await self._module.tell(api.ClientGone(self.id))
             await self._tell_outcome(attempt, endpoint, ending, True)
@@ -186,7 +186,7 @@
             return self._leaving.result()
         if (gone := self._wire.look_at_client()) is not None:
             return gone
-        if self._over.is_set() or (wanted is not None and not wanted()):
+        if self.over.is_set() or (wanted is not None and not wanted()):
             return Ending.NOT_SENT
         self.written = True
         return None
@@ -195,9 +195,9 @@
         self.written = False
         if self._leaving.done():
             return self._leaving.result()
-        if patience_ms <= 0 or self._over.is_set():
+        if patience_ms <= 0 or self.over.is_set():
             return Ending.NOT_SENT
-        over = asyncio.ensure_future(self._over.wait())
+        over = asyncio.ensure_future(self.over.wait())
         calling = asyncio.ensure_future(self._wire.call(endpoint, patience_ms, min(connect_ms, patience_ms)))
         try:
             await asyncio.wait((calling, self._leaving, over), return_when=asyncio.FIRST_COMPLETED)
@@ -226,7 +226,7 @@
 
     def hurry(self) -> None:
         """The relay is about to stop: a request not yet served is answered now."""
-        self._over.set()
+        self.over.set()
 
     async def _final(self, answer: Answer) -> None:
         if self._answered:
@@ -280,14 +280,14 @@
             self.record.calls += 1
             left_ms = max(1.0, self._give_up_ms - self._module.clock.now_ms())
             ending = await self._call(ask.standing_at, left_ms, RESUME_CONNECT_MS)
-            if self._over.is_set():
+            if self.over.is_set():
                 break
         if ending is not None:
             self.record.ending = ending
             self._may_have_run = may_have_run(ending)
             if ending not in CLIENT_GONE:
                 lost = Answer(refused=False, why="lost")
-                await self._final(self._hurried() if self._over.is_set() else lost)
+                await self._final(self._hurried() if self.over.is_set() else lost)
             return
         await self._module.tell(
             api.Inherited(
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -23,6 +23,7 @@
     CONNECT_ENDINGS,
     LINGER_S,
     Connect,
+    close_at_once,
     close_politely,
     connect,
     end_sending,
@@ -44,7 +45,7 @@
 MUTE_S = BACK_WITHIN_S - LINE_EVERY_S - MOVE_EARLY_S  # how long a line may be left unanswered
 LAST_LINE_MOST = TEXT_MOST + 16  # a word and a load report
 LAST_WORD_S = 0.5  # what an ended side may still have coming from the other
-MOVE_S = 0.7
+MOVE_S = 0.4  # a stop leaves HURRY_S of core/drain.py for it, and a line may be held back for a second
 
 
 class PlatformFront:
@@ -61,10 +62,13 @@
             async with newcomer.within(FIRST_LINE_S):
                 line = await self._first_line(sock, buffer)
         except TimeoutError:
-            # Nothing of it lies unread, so the answer is safe without waiting for its end.
-            text = self.turn_away if newcomer.evicted else b"ERR no first line in time\r\n"
-            with suppress(OSError):
-                sock.send(text)
+            # Its line may have become whole in this very instant: taken it has been, so it is answered.
+            if newcomer.evicted:
+                close_at_once(sock, self.turn_away)  # its descriptor is wanted
+            else:
+                with suppress(OSError):
+                    sock.send(b"ERR no first line in time\r\n")
+                await close_politely(sock)
             return
         except Malformed as error:
             log.info("first line: %s", error)
@@ -258,14 +262,14 @@
             await asyncio.wait(
                 (downward, upward, stopping, muting), return_when=asyncio.FIRST_COMPLETED
             )
+            moved = Ending.MOVED if stopping.done() else Ending.MUTE
+            if not downward.done() and not upward.done() and await self._moved(down, downward, upward, moved):
+                return moved
             if downward.done():
-                ending = await self._endpoint_ended(downward, upward)
-            elif upward.done():
-                ending = await self._client_ended(upward, downward)
-            else:
-                await down.put_in(b"MOVE\r\n", MOVE_S)
-                ending = Ending.MOVED if stopping.done() else Ending.MUTE
-            return ending
+                return await self._endpoint_ended(downward, upward)
+            if upward.done():
+                return await self._client_ended(upward, downward)
+            return Ending.CUT_OFF
         finally:
             for task in (downward, upward, stopping, muting, noting):
                 await end_task(task)
@@ -273,6 +277,25 @@
             self.life.record.quiet_s = asyncio.get_running_loop().time() - self._quiet.heard_s
             await asyncio.gather(close_politely(self._client), close_politely(endpoint))
 
+    async def _moved(
+        self, down: LinePump, downward: asyncio.Task[None], upward: asyncio.Task[None], why: Ending
+    ) -> bool:
+        """Tell the client MOVE. One that reads nothing just now is let be until it does, or is itself over,
+        unless there is no more time: its endpoint is mute, or the stop of the relay has come to its end.
+        """
+        putting = asyncio.ensure_future(down.put_last(b"MOVE\r\n"))
+        over = asyncio.ensure_future(self.life.over.wait())
+        ends = putting, downward, upward
+        try:
+            if why is Ending.MOVED:
+                await asyncio.wait((*ends, over), return_when=asyncio.FIRST_COMPLETED)
+            if not any(task.done() for task in ends):
+                await asyncio.wait(ends, timeout=MOVE_S, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await end_task(over)
+            await end_task(putting)
+        return not putting.cancelled() and putting.result()
+
     async def _endpoint_ended(self, downward: asyncio.Task[None], upward: asyncio.Task[None]) -> Ending:
         assert self._endpoint is not None
         error = downward.exception()
--- a/sageturn/fronts/pump.py
+++ b/sageturn/fronts/pump.py
@@ -80,13 +80,20 @@
             self._filled = rest
             self.between_lines = True
 
-    async def put_in(self, line: bytes, patience_s: float) -> bool:
-        """Write a line of the relay's own between two others; False if there is no room for it."""
+    async def put_last(self, line: bytes) -> bool:
+        """Write a line of the relay's own between two others, and nothing after it; False if it cannot be.
+
+        Waits for as long as its target takes nothing: the caller ends it when there is no more time.
+        """
+        await self._writing.acquire()  # and never let go of once the line is out
         try:
-            async with asyncio.timeout(patience_s), self._writing:
-                if not self.between_lines:
-                    return False
+            if self.between_lines:
                 await asyncio.get_running_loop().sock_sendall(self._target, line)
                 return True
-        except (OSError, TimeoutError):
-            return False
+        except OSError:
+            pass
+        except BaseException:
+            self._writing.release()
+            raise
+        self._writing.release()
+        return False
--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -124,7 +124,8 @@
 
 @dataclass(slots=True)
 class ServerList:
-    """``kind``: stale (the list last held, at a start), full, changes, or failed (asking failed)."""
+    """``kind``: stale (the list last held, at a start), full, changes, failed (asking failed), or lost (the
+    watch on changes had stood, and is over)."""
 
     kind: str
     servers: list[Server]
--- a/sageturn/net/admission.py
+++ b/sageturn/net/admission.py
@@ -71,6 +71,11 @@
     def full(self) -> bool:
         return self.held >= self.limits.held
 
+    @property
+    def unasked(self) -> int:
+        """Connections that have not asked yet."""
+        return len(self._unasked)
+
     def enter(self) -> Newcomer:
         newcomer = Newcomer(self)
         self.held += 1
@@ -88,6 +93,10 @@
         oldest.evict()
         return True
 
+    def evict_all(self) -> None:
+        while self.evict_oldest():
+            pass
+
     def settle(self, newcomer: Newcomer) -> None:
         self._unasked.pop(newcomer, None)
 
--- a/sageturn/net/discovery.py
+++ b/sageturn/net/discovery.py
@@ -102,6 +102,7 @@
 
     def __init__(self) -> None:
         self.headed = self.complete = False
+        self.listed = False  # an object has been told
         self.objects: list[bytes] = []
         self.alive = False  # something whole came, if only an empty line between two objects
         self._cutter = ObjectCutter(OBJECT_MOST)
@@ -124,14 +125,16 @@
 
     def __init__(self, address: tuple[str, int], report: Report) -> None:
         self._address, self._report = address, report
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()  # one watch, and those that are just letting go
         self._count = 0
 
     def start(self, after_version: int) -> int:
         self._count += 1
-        old, self._task = self._task, asyncio.ensure_future(self._watch(self._count, after_version))
-        if old is not None:
+        for old in self._tasks:
             old.cancel()  # a watch asked for again takes the place of the one before
+        task = asyncio.ensure_future(self._watch(self._count, after_version))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return self._count
 
     def move(self, address: tuple[str, int]) -> None:
@@ -139,24 +142,27 @@
         self._address = address
 
     async def stop(self) -> None:
-        await end_task(self._task)
+        for task in list(self._tasks):
+            await end_task(task)
 
     async def _watch(self, number: int, after_version: int) -> None:
+        answer = _Answer()
         try:
-            why = await self._call(number, after_version)
+            why = await self._call(answer, number, after_version)
         except Exception as error:
             # Whatever it was, a watch that ended untold would leave the relay with an old list for good.
             log.exception("the watch failed")
             why = f"{type(error).__name__}: {error}"
-        await self._report(number, WatchFailed(why))
+        # One whose answer was complete never was a watch.
+        await self._report(number, WatchFailed(why, answer.listed and not answer.complete))
 
-    async def _call(self, number: int, after_version: int) -> str:
+    async def _call(self, answer: _Answer, number: int, after_version: int) -> str:
         """One call to its end, which is always a failure; returns why."""
         sock = await connect(self._address, CONNECT_S)
         if isinstance(sock, Connect):
             return f"connect: {sock.name.lower()}"
         try:
-            await self._follow(sock, number, after_version)
+            await self._follow(sock, answer, number, after_version)
         except TimeoutError:
             return "silent"
         except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
@@ -164,16 +170,17 @@
         finally:
             sock.close()
 
-    async def _follow(self, sock: socket.socket, number: int, after_version: int) -> NoReturn:
+    async def _follow(
+        self, sock: socket.socket, answer: _Answer, number: int, after_version: int
+    ) -> NoReturn:
         loop = asyncio.get_running_loop()
         host = f"{self._address[0]}:{self._address[1]}"
         call = f"GET /v1/endpoints?stream=1&index={after_version} HTTP/1.1\r\nHost: {host}\r\n\r\n"
         await loop.sock_sendall(sock, call.encode())
-        answer = _Answer()
         parser = httptools.HttpResponseParser(answer)
         buffer = bytearray(65536)
         view = memoryview(buffer)
-        listed, asked_s = False, loop.time()
+        asked_s = loop.time()
         until = asked_s + ANSWER_S
         while True:
             async with asyncio.timeout_at(until):
@@ -189,14 +196,14 @@
                 raise ConnectionError(f"answered {parser.get_status_code()}")
             for text in answer.objects:
                 news = read_listed(json.loads(text))
-                if not listed:
+                if not answer.listed:
                     log.info("watch: version %d after %.3f s", news.version, loop.time() - asked_s)
                 await self._report(number, news)
-                listed = True
+                answer.listed = True
             answer.objects.clear()
             if fault is not None:
                 raise fault
-            if listed and answer.alive:
+            if answer.listed and answer.alive:
                 until = loop.time() + SILENCE_S
             answer.alive = False
             if answer.complete:
--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -6,17 +6,18 @@
 import logging
 import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 
-from sageturn.core.tasks import end_task
 from sageturn.net.admission import Admission, Newcomer
-from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, bind, prepare
+from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, bind, close_at_once, prepare
 
 log = logging.getLogger(__name__)
 
 Serve = Callable[[socket.socket, Newcomer], Awaitable[None]]
 BACKLOG = 1024
+AT_ONCE = 64  # taken in one turn of the loop, so that those who have been taken get theirs
+CANCEL_S = 0.02
 SHORT_PAUSE_S = 0.02
 SHORT_READ_S = 0.03  # a usual client's first line comes with its connection; nobody else is waited for
 SHORT_EVICT = 8  # silent ones cut off at a time when descriptors have run out
@@ -40,26 +41,51 @@
         self._sock.listen(BACKLOG)
 
     async def run(self) -> None:
-        loop = asyncio.get_running_loop()
         try:
             while True:
-                try:
-                    sock, _ = await loop.sock_accept(self._sock)
-                except OSError as error:
-                    if error.errno not in SHORT_OF_DESCRIPTORS:
-                        log.warning("accept: %s", error)  # the client was gone before it was taken
-                        continue
+                await self._knocked()
+                if self._take(AT_ONCE):
                     await self._make_room()
-                    continue
-                if self._admission.full and not self._admission.evict_oldest():
-                    await self._turn_away_one(sock)
-                    continue
-                self._start(sock)
         finally:
             self.close()
 
-    def _start(self, sock: socket.socket) -> None:
-        task = asyncio.ensure_future(self._guard(sock, self._admission.enter()))
+    async def _knocked(self) -> None:
+        """Returns once somebody waits. Nobody is taken here, so ending it loses nobody."""
+        loop = asyncio.get_running_loop()
+        knock = asyncio.Event()
+        loop.add_reader(self._sock, knock.set)
+        try:
+            await knock.wait()
+        finally:
+            if self._sock.fileno() >= 0:
+                loop.remove_reader(self._sock)
+
+    def _take(self, most: int) -> bool:
+        """Takes those who wait, up to so many; True when that needs a descriptor more than there is."""
+        for _ in range(most):
+            try:
+                sock, _ = self._sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return False
+            except OSError as error:
+                if error.errno in SHORT_OF_DESCRIPTORS:
+                    return True
+                log.warning("accept: %s", error)  # the client was gone before it was taken
+                continue
+            if self._admission.full and not self._admission.evict_oldest():
+                self._own(self._turn_away_one(sock))
+            else:
+                self._own(self._guard(sock, self._admission.enter()))
+        return False
+
+    def shut(self) -> None:
+        """Takes everyone whom this machine has accepted so far, and nobody from then on."""
+        if self._sock.fileno() >= 0 and self._take(BACKLOG):
+            log.error("no descriptor is left for clients that wait to be taken")
+        self.close()
+
+    def _own(self, serving: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(serving)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -106,20 +132,24 @@
             with suppress(OSError, TimeoutError):
                 async with asyncio.timeout(SHORT_READ_S):
                     await asyncio.get_running_loop().sock_recv_into(sock, bytearray(8192))
-            with suppress(OSError):
-                sock.send(self._turn_away)
         finally:
-            sock.close()
+            close_at_once(sock, self._turn_away)
 
     async def finish(self, patience_s: float) -> None:
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=patience_s)
 
     async def cancel(self) -> None:
-        await asyncio.gather(*map(end_task, list(self._tasks)))
+        """One that is cut off while it ends politely is cut off there, too: nothing is waited for now."""
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(self._tasks, timeout=CANCEL_S)
 
     def close(self) -> None:
-        self._sock.close()
+        if self._sock.fileno() >= 0:
+            asyncio.get_running_loop().remove_reader(self._sock)
+            self._sock.close()
         if self._spare is not None:
             os.close(self._spare)
             self._spare = None
--- a/sageturn/net/sockets.py
+++ b/sageturn/net/sockets.py
@@ -105,6 +105,17 @@
     sock.close()
 
 
+def close_at_once(sock: socket.socket, text: bytes) -> None:
+    """Say one last thing, and close over nothing unread: a reset for that could destroy it on its way."""
+    with suppress(OSError):
+        sock.send(text)
+        sock.shutdown(socket.SHUT_WR)
+        left = LINGER_MOST
+        while left > 0 and (size := len(sock.recv(8192))):
+            left -= size
+    sock.close()
+
+
 async def close_politely(sock: socket.socket) -> None:
     """End with FIN, and wait a little for the other's.
 
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -6,7 +6,7 @@
 import logging
 import signal
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -42,6 +42,7 @@
 LOG_LEVEL = "config/log_level"
 STATE_S = 5.0
 START_S = 0.001
+SIGNALS = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}
 
 
 class Relay:
@@ -54,7 +55,9 @@
         self.store = Store(config.name, operator.store_path)
         self.overrides = self._make_overrides()
         self.destinations = DestinationSet(
-            config.known, self.overrides.tell if self.overrides else self.module.tell
+            config.known,
+            self.overrides.tell if self.overrides else self.module.tell,
+            config.settings.discovery == "push",
         )
         if self.overrides is not None:
             self.destinations.out = self.overrides.out
@@ -62,6 +65,7 @@
         self.destinations.watcher = self.discovery
         self.lives = Lives(stop_times(config.settings.classes))
         self._actors: list[asyncio.Future[None]] = []
+        self._fallen: asyncio.Queue[BaseException] = asyncio.Queue()  # what has ended an actor
         self.shared = Shared(self.module, self.destinations, self.lives, self._ended)
         front = PlatformFront(self.shared)
         self.admission = Admission(config.limits)
@@ -155,7 +159,7 @@
         self.rebalancer = rebalancer
         if self.overrides is not None:
             rebalancer.marks = self.overrides.marks
-        self._actors.append(asyncio.ensure_future(rebalancer.run()))
+        self._own(rebalancer.run())
 
     async def _tell_state(self) -> None:
         """What this node has done, where an operator can read it at any replica."""
@@ -221,6 +225,29 @@
         kept = old.needs_restart(new)
         log.info("configuration taken%s", f"; kept until a restart: {', '.join(kept)}" if kept else "")
 
+    def _own(self, running: Coroutine[None, None, None]) -> None:
+        """An actor that ends by itself is a fault, whenever it was begun: it must not go unseen."""
+        def ended(actor: asyncio.Future[None]) -> None:
+            if not actor.cancelled() and (error := actor.exception()) is not None:
+                self._fallen.put_nowait(error)
+
+        actor = asyncio.ensure_future(running)
+        self._actors.append(actor)
+        actor.add_done_callback(ended)
+
+    async def _while_sound(self, waiting: Coroutine[None, None, object]) -> None:
+        """Until it returns; raises what ended an actor before."""
+        done = asyncio.ensure_future(waiting)
+        fallen = asyncio.ensure_future(self._fallen.get())
+        try:
+            await asyncio.wait((done, fallen), return_when=asyncio.FIRST_COMPLETED)
+            if fallen.done():
+                raise fallen.result()
+            await done
+        finally:
+            await end_task(fallen)
+            await end_task(done)
+
     def start(self) -> None:
         runs = [self.module.run, self.destinations.run, self.listener.run, self._tell_state, self._reloads]
         if self.overrides is not None:
@@ -231,9 +258,10 @@
             runs.append(self.exporter.run)
         if self.replica is not None:
             self.replica.start()
-        for listener in filter(None, (self.listener, self.xmpp)):
+        for listener in self._listeners():
             listener.open()
-        self._actors = [asyncio.ensure_future(run()) for run in runs]
+        for run in runs:
+            self._own(run())
         self._set_rebalancing()
 
     async def stop(self) -> None:
@@ -245,29 +273,40 @@
             await self.replica.stop()
         for actor in self._actors:
             await end_task(actor)
-        for listener in filter(None, (self.listener, self.xmpp)):
+        for listener in self._listeners():
+            listener.close()
             await listener.cancel()
         self.store.close()
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         stopping = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SIGNALS - {signal.SIGHUP}:
             loop.add_signal_handler(number, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one held back since the start comes now
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those held back since the start come now
         bound_descriptors(self._config.limits.sockets)
         # The loop turns before anybody can connect: a front sends clients to a relay that was killed
         # as soon as it listens, and those it keeps waiting for its own start lose that much of their time.
         await asyncio.sleep(START_S)
-        self.start()
-        waiting: asyncio.Future[object] = asyncio.ensure_future(stopping.wait())
-        watched: list[asyncio.Future[object]] = [waiting, *self._actors]  # type: ignore[list-item]
-        await asyncio.wait(watched, return_when=asyncio.FIRST_COMPLETED)
-        for actor in self._actors:
-            if actor.done():
-                actor.result()  # an actor that ends by itself is a fault: let it be seen
-        await self.lives.drain()
-        for listener in filter(None, (self.listener, self.xmpp)):
-            await listener.finish(0.1)
+        if not stopping.is_set():  # else told to go before anybody could come
+            self.start()
+            await self._while_sound(stopping.wait())
+            await self._while_sound(self.lives.drain(self))
         await self.stop()
+
+    # ------------------------------------------------------------ its doors, at a planned stop
+
+    def _listeners(self) -> list[Listener]:
+        return [listener for listener in (self.listener, self.xmpp) if listener is not None]
+
+    def unasked(self) -> int:
+        return self.admission.unasked
+
+    def shut(self) -> None:
+        for listener in self._listeners():
+            listener.shut()
+        self.admission.evict_all()
+
+    async def finish(self, patience_s: float) -> None:
+        await asyncio.gather(*(listener.finish(patience_s) for listener in self._listeners()))
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -165,7 +165,8 @@
         self.sum_pending = self.sum_limits = self.sum_open = 0  # over ready servers
         self.sum_blind = 0  # limits of ready servers on which we hold nothing
         self.watching, self.review_ms, self.ease_ms = False, 0.0, 0.0
-        self.calls = CallPace(settings.balancers, WATCH_RETRY_MS, settings.must_ask_in_ms, self.rng)
+        pushed = settings.discovery == "push"
+        self.calls = CallPace(settings.balancers, WATCH_RETRY_MS, settings.must_ask_in_ms, self.rng, pushed)
         self.actions: list[Action] = []
         self.now_ms = 0.0
         self.handlers: dict[type, Callable[[float, Any], None]] = {
@@ -645,10 +646,11 @@
                 self._relist()
 
     def _on_list(self, now_ms: float, e: ServerList) -> None:
-        if e.kind == "failed":
+        if e.kind in ("failed", "lost"):
             # A failure does not say which call failed, so the watch is asked for again, spread out.
             self.watching = False
-            self.actions.append(SetTimer(self.calls.failed_ms(), "watch"))
+            wait_ms = self.calls.lost_ms(now_ms) if e.kind == "lost" else self.calls.failed_ms()
+            self.actions.append(SetTimer(wait_ms, "watch"))
             return
         if e.kind == "stale" and self.probes.asks:
             self.actions.append(SetTimer(LOOK_MS * self.rng.random(), "probe"))
--- a/sageturn/shares.py
+++ b/sageturn/shares.py
@@ -152,16 +152,31 @@
 AGAIN_MOST = 4.0
 
 
+# A watch that fell silent is noticed 3.2 s later at the most, and what it misses counts as told after 6 s:
+# all relays call anew within so long, and a second is left for the answer.
+LOST_MS = 1800.0
+PUSHED_MS = 100.0  # the mean wait where lists are pushed: an agent at hand is asked, and shared by nobody
+
+
 class CallPace:
     """When a relay asks for the list: not in step with the others, nor all faster than it answers."""
 
-    def __init__(self, relays: int, least_ms: float, must_ask_ms: float, rng: Random) -> None:
-        """The mean wait starts at ``least_ms`` or more, and doubles with each failure in a row."""
+    def __init__(
+        self, relays: int, least_ms: float, must_ask_ms: float, rng: Random, pushed: bool = False
+    ) -> None:
+        """The mean wait starts at ``least_ms`` or more, and doubles with each failure in a row.
+
+        ``pushed``: what the agent has counts as told whether it was asked or not, so no time is lost.
+        """
         fleet_ms, self._rng = relays * CALL_MS, rng
         bound_ms = FIRST_PART * must_ask_ms
         self._first_ms = min(fleet_ms, bound_ms)
         self._calm_ms = self._mean_ms = max(least_ms, min(fleet_ms * AGAIN_PART, bound_ms))
         self._most_ms = max(self._calm_ms, must_ask_ms / 3.0, fleet_ms * AGAIN_MOST)
+        self._within_ms, self._again_ms = min(fleet_ms, LOST_MS), must_ask_ms
+        self._lost_ms = float("-inf")
+        if pushed:
+            self._calm_ms = self._mean_ms = self._most_ms = PUSHED_MS
 
     def first_ms(self) -> float:
         return self._first_ms * self._rng.random()
@@ -171,5 +186,11 @@
         self._mean_ms = min(self._mean_ms * 2.0, self._most_ms)
         return wait_ms
 
+    def lost_ms(self, now_ms: float) -> float:
+        """A watch that stood is over. Soon, but not each time: what ends again and again is a failure."""
+        soon, self._lost_ms = now_ms >= self._lost_ms + self._again_ms, now_ms
+        wait_ms = self._within_ms * self._rng.random()
+        return min(wait_ms, self._mean_ms) if soon else self.failed_ms()
+
     def succeeded(self) -> None:
         self._mean_ms = self._calm_ms
