Refuse listed addresses that are no IPv4, and answer what a fault of the program ends

Read over: a name in place of an address would have held up or failed whoever connects (net/discovery.py); one action of the module that cannot be done took the others with it and ended the relay (core/module.py). Tests: a stop while a connection is being resumed, a fault inside a call (its client was closed without a word, the module kept the request), and SIGTERM before the relay listens, forced by a signal that is pending before the program begins.

--- a/sageturn/core/module.py
+++ b/sageturn/core/module.py
@@ -102,7 +102,10 @@
         for companion in list(self.companions):
             self._attend(companion, companion.after, now_ms, event, actions)
         for action in actions:
-            self._act(action)
+            try:
+                self._act(action)
+            except Exception:
+                log.exception("%s could not be done", type(action).__name__)  # the others still can
 
     def _attend(self, companion: Companion, hear: Callable[..., None], *what: object) -> None:
         """A companion that fails is let go: no decision may wait for it, or be lost with it."""
--- a/sageturn/net/discovery.py
+++ b/sageturn/net/discovery.py
@@ -58,6 +58,15 @@
     return value or usual
 
 
+def _is_address(host: str) -> bool:
+    """There are no names to look up here: one would hold up whoever connects, or fail it."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        return False
+    return True
+
+
 def _entry(line: dict[str, Any]) -> Server:
     state = line["state"]
     if not _text(line, "id"):
@@ -89,7 +98,9 @@
         for line in obj["servers"]:
             server = servers[line["id"]] = _entry(line)
             if address := _text(line, "addr"):
-                addresses[server.name] = parse_address(address)
+                host, port = addresses[server.name] = parse_address(address)
+                if not _is_address(host) or not port:
+                    raise BadList(f"addr: {address!r}")
         return Listed(version, bool(full), list(servers.values()), addresses)
     except KeyError as error:
         raise BadList(f"missing {error}") from None
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -369,3 +369,39 @@
             scene.client.close()
 
     asyncio.run(asyncio.wait_for(go(), 15))
+
+
+def test_one_that_is_being_resumed_hears_of_a_stop_that_it_may_try_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Nothing of it was sent: ERR said that it may have been.
+    async def go() -> None:
+        async with relaying(tmp_path, up) as (relay, (endpoint,)):
+            scene = Scene(relay, [endpoint])
+            scene.line = first_line(40000, ",at=a")
+            await connecting(scene, monkeypatch)
+            await stop(scene)
+            assert (await scene.rest()).startswith(b"BUSY") and not any(endpoint.lines)
+            scene.client.close()
+
+    asyncio.run(asyncio.wait_for(go(), 10))
+
+
+def test_a_fault_of_the_program_still_ends_in_an_answer_and_leaves_no_ghost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The client's connection was closed without a word, and the module kept the request for good.
+    async def go() -> None:
+        async with relaying(tmp_path, up) as (relay, _):
+            async def fails(address: tuple[str, int], timeout_s: float) -> Any:
+                raise ValueError("unforeseen")
+
+            monkeypatch.setattr(platform, "connect", fails)
+            scene = Scene(relay, [])
+            scene.client.sendall(scene.line)
+            assert await scene.rest() == b"ERR internal\r\n"
+            scene.client.close()
+            await scene.until(lambda: not relay.lives and not relay.module._balancer.requests)
+            assert all(s.open == s.pending == 0 for s in relay.module._balancer.servers.values())
+
+    asyncio.run(asyncio.wait_for(go(), 10))
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -48,7 +48,8 @@
 
 @pytest.mark.parametrize("key,bad", [
     ("started_ms", "soon"), ("started_ms", float("nan")), ("weight", []), ("weight", -1), ("zone", 3),
-    ("kind", {}), ("cell", "x"), ("addr", 7), ("addr", "nowhere"), ("id", ""), ("id", 4), ("state", None),
+    ("kind", {}), ("cell", "x"), ("addr", 7), ("addr", "nowhere"), ("addr", "a.example:80"),
+    ("addr", "127.0.0.1:0"), ("id", ""), ("id", 4), ("state", None),
 ])  # fmt: skip
 def test_an_entry_in_error_is_refused_by_its_key_and_takes_no_half_effect(key: str, bad: Any) -> None:
     # A start told as text was believed, and failed the module half way through the list.
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -151,3 +151,20 @@
             assert said.count(" ERROR ") == 1 and said.count("limits.sockets") == 1
 
     asyncio.run(asyncio.wait_for(go(), 30))
+
+
+def test_a_relay_told_to_go_before_it_listens_ends_well_and_takes_nobody(tmp_path: Path) -> None:
+    # The signal ended it as a fault does. It is pending here before the program has begun.
+    async def go() -> None:
+        file = write_config(tmp_path, ("127.0.0.1", 1), listed({}))
+        code = (
+            "import os, signal, sys; signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM});"
+            "os.kill(os.getpid(), signal.SIGTERM); from sageturn.__main__ import main;"
+            "sys.argv = ['sageturn']; sys.exit(main())"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, env={**os.environ, "GW_CONFIG": str(file)}
+        )
+        assert await asyncio.wait_for(process.wait(), 10) == 0
+
+    asyncio.run(go())
