--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import select
 import socket
 import struct
@@ -188,6 +189,7 @@
         async with relaying(tmp_path, *[act(scenes)] * 3, settings=settings) as (relay, endpoints):
             while relay.destinations.version != 2:
                 await asyncio.sleep(0.002)
+            descriptors = len(os.listdir("/proc/self/fd"))
             scenes.append(scene := Scene(relay, endpoints, 400 if end is time_is_up else 3000))
             await reach(scene, monkeypatch)
             before = len(scene.lines)
@@ -202,6 +204,8 @@
             await scene.until(lambda: not any(e.open for e in endpoints))
             assert all(s.open == s.pending == 0 for s in balancer.servers.values())
             assert relay.module._requests == {}
+            shut = 2 if end is stop else 0  # the door, and the descriptor kept for want of others
+            await scene.until(lambda: len(os.listdir("/proc/self/fd")) <= descriptors - shut)
             sent, most = len(scene.lines), settings["policyLimits"]["sendCap"]
             assert sent <= most and sum(e.most_open for e in endpoints) <= max(1, sent)
             if end in GONE or end in (all_drain, stop):
