Move the few clients of a fleet's relay as evenly over a stop as the many of a lone one

After 1.0 s hardly any relay has anything to log until 5.0 s after the signal, when all are back: a relay that is empty early is back no sooner. At fault: core/drain.py, Lives.drain, max(1, round(n / steps)): one at each step of 50 ms at the least, so up to 36 connections went at that pace, a floor that adds up over 200 relays. Parts of one are now carried over (EvenPace), so few are spread as many are: about 0.75 s more of service for each moved connection, and their returns less in step. Ruled out: that the stop's end waits for connections (none was held at the end), that leaving early brings the relay back sooner (above).

A property holds every count of connections to within one of an even pace; it fails with the old formula from 2 connections on.

--- a/sageturn/core/drain.py
+++ b/sageturn/core/drain.py
@@ -42,6 +42,21 @@
     return StopTimes(from_s, (hurry_s - from_s) * MOVE_PART, hurry_s, leave_s)
 
 
+class EvenPace:
+    """How many of those left are due at each step. Parts of one are carried over, not rounded up:
+    with one at each step at the least, a few connections were gone in a fifth of the time that there is.
+    """
+
+    def __init__(self) -> None:
+        self._due = 0.0
+
+    def due(self, count: int, steps_left: float) -> int:
+        self._due += count / steps_left
+        whole = count if steps_left <= 1.0 else min(count, int(self._due + 1e-9))
+        self._due -= whole
+        return whole
+
+
 class Doors(Protocol):
     """Where clients come in, and are before they have asked for anything."""
 
@@ -83,12 +98,12 @@
         self.stopping = True
         times = self._times
         loop = asyncio.get_running_loop()
-        began = loop.time()
+        began, pace = loop.time(), EvenPace()
         await asyncio.sleep(times.move_from_s)
         while loop.time() - began < times.hurry_at_s:
             standing = [life for life in self._lives if life.standing and not life.stop.is_set()]
             steps_left = max(1.0, (times.move_from_s + times.over_s - (loop.time() - began)) / STEP_S)
-            for life in standing[: max(1, round(len(standing) / steps_left))]:
+            for life in standing[: pace.due(len(standing), steps_left)]:
                 life.leave()
             await asyncio.sleep(STEP_S)
             if not self._lives and not doors.unasked() and loop.time() - began > ACCEPT_S:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -17,7 +17,7 @@
 
 from sageturn import Balancer, FirstSign, Outcome, Probed, Request, Send, Server, ServerList, SetTimer, Timer
 from sageturn.config import ConfigError, load
-from sageturn.core.drain import stop_times
+from sageturn.core.drain import EvenPace, stop_times
 from sageturn.core.messages import Listed
 from sageturn.relay import Relay
 from sageturn.settings import read_settings
@@ -277,3 +277,15 @@
     times = stop_times([replace(cls, give_up_ms=3200.0)])
     assert times.move_from_s == 0.45 and times.leave_at_s == pytest.approx(3.4)
     assert times.hurry_at_s == pytest.approx(2.9) and times.over_s == pytest.approx(1.8, abs=0.01)
+
+
+@given(st.integers(1, 400), st.integers(4, 60))
+def test_few_connections_leave_as_evenly_as_many(count: int, steps: int) -> None:
+    # Seven stood at a relay of the full fleet, and had all been moved 0.3 s into the 1.8 s for it: one at a
+    # step at the least. Their relay was back no sooner, and nobody served them for the time between.
+    pace, left, gone = EvenPace(), count, 0
+    for step in range(steps):
+        due = pace.due(left, float(steps - step))
+        left, gone = left - due, gone + due
+        assert abs(gone - count * (step + 1) / steps) <= 1.0
+    assert left == 0
