--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -270,13 +270,7 @@
         async with relaying(tmp_path, up) as (relay, (endpoint,)):
             relay.lives._times = StopTimes(0.0, 0.0, 0.01, 2.0)
             scene = Scene(relay, [endpoint])
-            finish = relay.finish
-
-            async def asks_now(patience_s: float) -> None:
-                await finish(patience_s)
-
             relay.admission.evict_all = lambda: None  # type: ignore[method-assign]
-            relay.finish = asks_now  # type: ignore[method-assign]
             draining = asyncio.ensure_future(relay.lives.drain(relay))
             await scene.until(lambda: relay.admission.unasked and relay.lives._hurrying)
             scene.client.sendall(first_line())
@@ -313,7 +307,7 @@
         async with relaying(tmp_path, up) as (relay, _):
             scene = Scene(relay, [])
             await scene.until(lambda: relay.admission.unasked)
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.01)  # its reading has begun; whether or not, it is answered
             scene.client.sendall(first_line())
             relay.admission.evict_all()
             assert await scene.rest() == b"BUSY 500\r\n"
