Call discovery again in time for what counts as told after 6 s, by what a call cost

Whatever was allowed after a failed call, a change now counts as told 6 s after discovery had it and could be reached. CallPace waited 5 s in the mean after a first failure and up to four times 130 ms for each relay later, whatever the failure was: reckoned with its own figures, after 60 s of refusals 90% of 200 relays at 13 ms a call had the news late, the last one 115 s after the return; 69% of 40 relays.

How a call ended is told apart now (ListFailure, in place of the kinds "failed" and "lost"): one that was refused or turned away at once cost discovery nothing, one that was kept waiting and failed stood in a queue that is too long, one that got silence was taken by nobody. Only the second backs off exponentially; all others wait at most 2.8 s, and less by what the failure itself took beyond that. The pacing, with the client's own time limits, is one pure part now (sageturn/backoff.py).

In the tests' model (calls served in turn, failed after 3 s and worked on all the same) all have the news in 6 s where calls of all take 4.5 s together (2 s after a hang), with no call failed; beyond that the first of them are in time and the last one is bounded.

Tests: those of CallPace moved to test_backoff.py. "Every relay has asked in time for a second try" stood on four times mustAskInMs after a failed call; its bounds are tighter now.

--- a/sageturn/core/destinations.py
+++ b/sageturn/core/destinations.py
@@ -74,11 +74,12 @@
                     # tell all. What is known stays in use until it has come.
                     self.version = 0
                     self._start()
-                case WatchSaid(watch, WatchFailed(why, stood)):
+                case WatchSaid(watch, WatchFailed(why, failure)):
                     # That one which was replaced has failed is no news, and must not end the new one.
-                    log.info("watch: %s%s", why, "" if watch == self._watch else " (replaced)")
+                    replaced = "" if watch == self._watch else " (replaced)"
+                    log.info("watch: %s, %s%s", failure.name.lower(), why, replaced)
                     if watch == self._watch:
-                        await self._tell(api.ServerList("lost" if stood else "failed", []))
+                        await self._tell(api.ServerList("failed", [], failure))
                 case WatchSaid(watch, Listed() as news):
                     # What a replaced one had still told is known from then on, but where the next call
                     # goes on from is the new one's to say: its source may count otherwise.
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from sageturn.interface import Server
+from sageturn.interface import ListFailure, Server
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
     """A watch could not be had, or broke; ``why`` is for the log."""
 
     why: str
-    stood: bool = False  # it had told the list, and was open
+    failure: ListFailure
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 # ---------------------------------------------------------------- settings
 
@@ -122,13 +123,25 @@
     factor: float = 1.0  # by which an operator makes it count for more or less than its size
 
 
+class ListFailure(Enum):
+    """How a call for the list, or the watch that it became, has ended. What that cost discovery differs."""
+
+    UNREACHED = auto()  # never connected, or refused, reset or turned away at once: it cost nothing
+    OVERLOADED = auto()  # taken, kept waiting, and failed then: it stood in a queue that is too long
+    UNANSWERED = auto()  # taken, and given up in silence: nobody works there
+    UNUSABLE = auto()  # answered, but no watch came of it
+    LOST = auto()  # the watch had stood, and was ended
+    SILENT = auto()  # the watch had stood, and fell silent
+
+
 @dataclass(slots=True)
 class ServerList:
-    """``kind``: stale (the list last held, at a start), full, changes, failed (asking failed), or lost (the
-    watch on changes had stood, and is over)."""
+    """``kind``: stale (the list last held, at a start), full, changes, or failed: asking for changes has, or
+    the watch on them is over; ``failure`` tells which."""
 
     kind: str
     servers: list[Server]
+    failure: ListFailure = ListFailure.UNREACHED
 
 
 @dataclass(slots=True)
--- a/sageturn/net/discovery.py
+++ b/sageturn/net/discovery.py
@@ -7,24 +7,25 @@
 import logging
 import math
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, NoReturn
 
 import httptools
 
+from sageturn.backoff import ANSWER_MS, CONNECT_MS, SILENCE_MS, unserved
 from sageturn.core.messages import Listed, WatchFailed
 from sageturn.core.tasks import end_task
-from sageturn.interface import Server
+from sageturn.interface import ListFailure, Server
 from sageturn.net.objects import ObjectCutter
 from sageturn.net.sockets import Connect, connect
 
 log = logging.getLogger(__name__)
 
-CONNECT_S = 1.0
-ANSWER_S = 3.5  # discovery itself fails a call that has waited 3 s
-# An empty line comes every 2 s; what it has to tell counts as told after 6 s. Only what is whole is a sign of
-# life: half an object, or white space inside of one, tells nothing.
-SILENCE_S = 3.2
+CONNECT_S = CONNECT_MS / 1000.0
+ANSWER_S = ANSWER_MS / 1000.0
+# Only what is whole is a sign of life: half an object, or white space inside of one, tells nothing.
+SILENCE_S = SILENCE_MS / 1000.0
 OBJECT_MOST = 4 << 20
 
 # What a watch says, and which one it was.
@@ -113,6 +114,7 @@
 
     def __init__(self) -> None:
         self.headed = self.complete = False
+        self.good = False  # its status is that of an answer
         self.listed = False  # an object has been told
         self.objects: list[bytes] = []
         self.alive = False  # something whole came, if only an empty line between two objects
@@ -134,8 +136,11 @@
 class DiscoveryClient:
     """Holds at most one watch open, and reports into the destination set's mailbox."""
 
-    def __init__(self, address: tuple[str, int], report: Report) -> None:
-        self._address, self._report = address, report
+    def __init__(
+        self, address: tuple[str, int], report: Report, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        """``clock``: in seconds, for how long a call had waited when it failed."""
+        self._address, self._report, self._clock = address, report, clock
         self._tasks: set[asyncio.Task[None]] = set()  # one watch, and those that are just letting go
         self._count = 0
 
@@ -159,25 +164,31 @@
     async def _watch(self, number: int, after_version: int) -> None:
         answer = _Answer()
         try:
-            why = await self._call(answer, number, after_version)
+            failed = await self._call(answer, number, after_version)
         except Exception as error:
             # Whatever it was, a watch that ended untold would leave the relay with an old list for good.
             log.exception("the watch failed")
-            why = f"{type(error).__name__}: {error}"
-        # One whose answer was complete never was a watch.
-        await self._report(number, WatchFailed(why, answer.listed and not answer.complete))
+            failed = WatchFailed(f"{type(error).__name__}: {error}", ListFailure.UNUSABLE)
+        await self._report(number, failed)
 
-    async def _call(self, answer: _Answer, number: int, after_version: int) -> str:
-        """One call to its end, which is always a failure; returns why."""
+    async def _call(self, answer: _Answer, number: int, after_version: int) -> WatchFailed:
+        """One call to its end, which is always a failure."""
         sock = await connect(self._address, CONNECT_S)
         if isinstance(sock, Connect):
-            return f"connect: {sock.name.lower()}"
+            return WatchFailed(f"connect: {sock.name.lower()}", ListFailure.UNREACHED)
+        asked_s = self._clock()
         try:
             await self._follow(sock, answer, number, after_version)
         except TimeoutError:
-            return "silent"
+            return WatchFailed("silent", ListFailure.SILENT if answer.listed else ListFailure.UNANSWERED)
         except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
-            return f"{type(error).__name__}: {error.__context__ or error}"
+            why = f"{type(error).__name__}: {error.__context__ or error}"
+            if answer.listed and not answer.complete:  # one whose answer was complete never was a watch
+                return WatchFailed(why, ListFailure.LOST)
+            if answer.good or not isinstance(error, OSError):
+                return WatchFailed(why, ListFailure.UNUSABLE)
+            waited_s = self._clock() - asked_s
+            return WatchFailed(f"{why} after {waited_s:.3f} s", unserved(waited_s * 1000.0))
         finally:
             sock.close()
 
@@ -203,7 +214,8 @@
                 parser.feed_data(view[:size])
             except httptools.HttpParserError as error:
                 fault = error  # what came whole before it has been told all the same
-            if answer.headed and parser.get_status_code() != 200:
+            answer.good = answer.headed and parser.get_status_code() == 200
+            if answer.headed and not answer.good:
                 raise ConnectionError(f"answered {parser.get_status_code()}")
             for text in answer.objects:
                 news = read_listed(json.loads(text))
--- a/sageturn/overrides/actor.py
+++ b/sageturn/overrides/actor.py
@@ -69,7 +69,7 @@
 
     async def tell(self, event: api.Event) -> None:
         """In place of the module's own ``tell``, for the destination set."""
-        if isinstance(event, api.ServerList) and event.kind not in ("failed", "lost"):
+        if isinstance(event, api.ServerList) and event.kind != "failed":
             whole = event.kind in ("full", "stale")
             lines = self.board.listed(event.servers, whole, self._now_ms())
             event = api.ServerList(event.kind, lines)
--- a/sageturn/rebalance/planner.py
+++ b/sageturn/rebalance/planner.py
@@ -128,7 +128,7 @@
             case api.Note(kind="load"):
                 self.book.load(event.id, event.value)
             case api.ServerList():
-                self.signs.listed(event.kind in ("failed", "lost"))
+                self.signs.listed(event.kind == "failed")
         for action in actions:
             match action:
                 case api.Refuse(request_id) | api.Fail(request_id):
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -12,13 +12,14 @@
 from typing import Any
 from zlib import crc32
 
+from sageturn.backoff import CallBackoff
 from sageturn.interface import (
     NEVER_RAN, Action, Cancel, ClientGone, Event, Fail, FirstSign, Inherited, Move, Note, Outcome, Probe,
     Probed, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
 from sageturn.probing import LOOK_MS, Probes
 from sageturn.shares import (
-    CallPace, KindSpeeds, Place, SetUpWindow, cold_pace, count_trust, quota_bounds, warm_part,
+    KindSpeeds, Place, SetUpWindow, cold_pace, count_trust, quota_bounds, warm_part,
 )  # fmt: skip
 
 LIMIT_START = 8  # pending connections a server is trusted with before it has shown anything
@@ -36,7 +37,6 @@
 SUSPECT = 3  # failures in a row that put a server out; a failed connect counts double
 OUT_MS = 1500.0  # time out; back then, its next failure puts it out again
 OUT_SHARE = 0.34  # never more of the listed ready servers out than this
-WATCH_RETRY_MS = 700.0  # the least mean wait after a failed call to the list
 OVER = 1.2  # a tenant is beyond its share above this many times its quota's part of one balancer
 LATE_PART = 0.34  # of the shortest message aim: longer messages show a server near its capacity
 MOVE_AIM = 0.5  # of the shortest message aim: a server with longer delays is relieved
@@ -166,7 +166,7 @@
         self.sum_blind = 0  # limits of ready servers on which we hold nothing
         self.watching: bool | None = None  # None: nobody has asked for the list yet
         pushed = settings.discovery == "push"
-        self.calls = CallPace(settings.balancers, WATCH_RETRY_MS, settings.must_ask_in_ms, self.rng, pushed)
+        self.calls = CallBackoff(settings.balancers, settings.must_ask_in_ms, self.rng, pushed)
         self.actions: list[Action] = []
         self.now_ms = self.review_ms = self.ease_ms = 0.0
         self.handlers: dict[type, Callable[[float, Any], None]] = {
@@ -520,7 +520,7 @@
                 self._ill(now_ms, s, 2 if status == "connect_failed" else 1)
             if status == "connect_failed" and self.watching is None and self.settings.discovery == "ask":
                 self.watching = False  # the list of the start is out of date: it is not waited for any longer
-                self.actions.append(SetTimer(self.calls.lost_ms(now_ms), "watch"))
+                self.actions.append(SetTimer(self.calls.first_ms(doubted=True), "watch"))
         elif status == "reset":
             # A server with too much piled up breaks connections, mostly new ones. A balancer that holds
             # none there for long gets no note: this is all it sees.
@@ -649,11 +649,9 @@
                 self._relist()
 
     def _on_list(self, now_ms: float, e: ServerList) -> None:
-        if e.kind in ("failed", "lost"):
-            # A failure does not say which call failed, so the watch is asked for again, spread out.
+        if e.kind == "failed":
             self.watching = False
-            wait_ms = self.calls.lost_ms(now_ms) if e.kind == "lost" else self.calls.failed_ms()
-            self.actions.append(SetTimer(wait_ms, "watch"))
+            self.actions.append(SetTimer(self.calls.wait_ms(now_ms, e.failure), "watch"))
             return
         if e.kind == "stale" and self.probes.asks:
             self.actions.append(SetTimer(LOOK_MS * self.rng.random(), "probe"))
--- a/sageturn/shares.py
+++ b/sageturn/shares.py
@@ -1,4 +1,4 @@
-"""One relay's part of what all relays may ask of a fleet: set-ups, connections, calls.
+"""One relay's part of what all relays may ask of a fleet: set-ups and connections.
 
 Pure: no clock, no I/O; chance is passed in. What a relay allows itself here, times the number of relays,
 stays inside what the session store and the servers bear, whatever the size of the fleet.
@@ -137,60 +137,3 @@
 def warm_part(age_ms: float, within_ms: float, cold_from: float) -> float:
     """Part of its size that a server can do so long after its start: it gets there evenly."""
     return 1.0 if age_ms >= within_ms else cold_from + (1.0 - cold_from) * max(0.0, age_ms) / within_ms
-
-
-# What a call may cost the service of lists that all relays share: where it was overbooked it answered seven
-# or eight a second, in turn, and worked on those that had given up waiting too. Nothing tells a relay what it
-# costs here (13 ms was seen as well), so it paces small fleets, and the rules large ones.
-CALL_MS = 130.0
-# What is listed counts as told to a relay that has not asked for must_ask, after a failed call for four times
-# that. Relays first ask within this part of it: should the call fail, the next is in time.
-FIRST_PART = 0.5
-AGAIN_PART = 1.25  # of the time in which each can be answered: the mean wait after a first failure
-# and this once calls have gone on failing. From some fifty relays on it is longer than four must_ask: that
-# late, discovery evidently cannot answer all, and calls that come no slower keep every one from its answer.
-AGAIN_MOST = 4.0
-
-
-# A watch that fell silent is noticed 3.2 s later at the most, and what it misses counts as told after 6 s:
-# all relays call anew within so long, and a second is left for the answer.
-LOST_MS = 1800.0
-PUSHED_MS = 100.0  # the mean wait where lists are pushed: an agent at hand is asked, and shared by nobody
-
-
-class CallPace:
-    """When a relay asks for the list: not in step with the others, nor all faster than it answers."""
-
-    def __init__(
-        self, relays: int, least_ms: float, must_ask_ms: float, rng: Random, pushed: bool = False
-    ) -> None:
-        """The mean wait starts at ``least_ms`` or more, and doubles with each failure in a row.
-
-        ``pushed``: what the agent has counts as told whether it was asked or not, so no time is lost.
-        """
-        fleet_ms, self._rng = relays * CALL_MS, rng
-        bound_ms = FIRST_PART * must_ask_ms
-        self._first_ms = min(fleet_ms, bound_ms)
-        self._calm_ms = self._mean_ms = max(least_ms, min(fleet_ms * AGAIN_PART, bound_ms))
-        self._most_ms = max(self._calm_ms, must_ask_ms / 3.0, fleet_ms * AGAIN_MOST)
-        self._within_ms, self._again_ms = min(fleet_ms, LOST_MS), must_ask_ms
-        self._lost_ms = float("-inf")
-        if pushed:
-            self._calm_ms = self._mean_ms = self._most_ms = PUSHED_MS
-
-    def first_ms(self) -> float:
-        return self._first_ms * self._rng.random()
-
-    def failed_ms(self) -> float:
-        wait_ms = self._mean_ms * (0.5 + self._rng.random())
-        self._mean_ms = min(self._mean_ms * 2.0, self._most_ms)
-        return wait_ms
-
-    def lost_ms(self, now_ms: float) -> float:
-        """A watch that stood is over. Soon, but not each time: what ends again and again is a failure."""
-        soon, self._lost_ms = now_ms >= self._lost_ms + self._again_ms, now_ms
-        wait_ms = self._within_ms * self._rng.random()
-        return min(wait_ms, self._mean_ms) if soon else self.failed_ms()
-
-    def succeeded(self) -> None:
-        self._mean_ms = self._calm_ms
--- a/sageturn/simhost.py
+++ b/sageturn/simhost.py
@@ -9,6 +9,7 @@
 import orjson
 
 from sageturn import interface as api
+from sageturn.backoff import unserved
 from sageturn.reports import checked
 from sageturn.rules import Balancer
 from sageturn.settings import read_settings, text
@@ -131,6 +132,7 @@
 
     def __init__(self) -> None:
         self.instances: dict[int, Balancer] = {}
+        self.asked: dict[int, float] = {}  # by instance: since when its call for the list is unanswered
 
     def answer(self, line: bytes) -> bytes:
         try:
@@ -151,13 +153,19 @@
                     if reader is not None:
                         if balancer is None:
                             raise WireError(f"{what} for instance {number}, which was never enlisted")
-                        for action in balancer.handle(now_ms, reader(fields)):
+                        event = reader(fields)
+                        if isinstance(event, api.ServerList):
+                            self._asked(now_ms, number, event)
+                        for action in balancer.handle(now_ms, event):
                             actions.append(WRITERS[type(action)](action))
+                            if isinstance(action, api.Watch):
+                                self.asked[number] = now_ms
                     elif what == "Enlist":
                         balancer = Balancer(read_settings(fields["conf"]), fields["entropy"])
                         self.instances[number] = balancer
                     elif what == "Teardown":
                         self.instances.pop(number, None)
+                        self.asked.pop(number, None)
                         balancer = None
                         actions.clear()
                     elif what not in PASSED_OVER:
@@ -170,6 +178,14 @@
             raise WireError(f"{what}: {error}") from None
         return orjson.dumps({"groups": groups})
 
+    def _asked(self, now_ms: float, number: int, event: api.ServerList) -> None:
+        """The wire does not say how a call failed: how long that took does, and what came before."""
+        if event.kind == "stale":
+            return
+        asked_ms = self.asked.pop(number, None)
+        if event.kind == "failed":
+            event.failure = api.ListFailure.LOST if asked_ms is None else unserved(now_ms - asked_ms)
+
 
 def main() -> int:
     link = Link()
