--- a/tests/test_backoff.py
+++ b/tests/test_backoff.py
@@ -142,11 +142,13 @@
 
     def __init__(self, relays: int, cost_ms: float, down_ms: float, how: str, seed: int) -> None:
         """``how`` it is down: refuses, resets, 503 (at once), cut (connections never come up), hung (they do,
-        and nobody answers), waits (fails calls after 3 s) or starts: all relays start at its return.
+        and nobody answers) or waits (fails calls after 3 s). Or it never is: all relays start as one, are
+        moved there as one, or see their watches fall silent as one.
         """
         chance = Random(f"{seed} {relays} {how}")
         self.paces = [CallBackoff(relays, MUST_ASK_MS, Random(seed * 1009 + k)) for k in range(relays)]
-        self.cost_ms, self.back_ms, self.how = cost_ms, 0.0 if how == "starts" else down_ms, how
+        self.cost_ms, self.how = cost_ms, how
+        self.back_ms = 0.0 if how in ("starts", "moved", "silent") else down_ms
         self.free_ms = self.back_ms
         self.events: list[tuple[float, int, str, int, Any]] = []
         self.count, self.failed = 0, 0
@@ -156,7 +158,9 @@
         for k, pace in enumerate(self.paces):
             if how == "starts":
                 self.at(pace.first_ms(), "call", k)
-            elif how in ("cut", "hung"):  # its last sign of life came up to 2 s before
+            elif how == "moved":
+                self.at(0.0, "call", k)
+            elif how in ("cut", "hung", "silent"):  # its last sign of life came up to 2 s before
                 self.at(SILENCE_MS - 2000.0 * chance.random(), "fail", k, ListFailure.SILENT)
             else:
                 self.at(0.0, "fail", k, ListFailure.LOST)
@@ -237,20 +241,21 @@
             assert fleet.peak() <= 10 + 0.75 * relays
 
 
+@pytest.mark.parametrize("how", ["hung", "silent", "moved"])
 @pytest.mark.parametrize("relays, cost_ms", [(2, 13), (20, 13), (150, 13), (2, 43), (20, 43), (46, 43)])
-def test_all_have_the_news_in_time_after_a_hang_where_their_calls_take_two_seconds(
-    relays: int, cost_ms: int
+def test_all_have_the_news_in_time_from_a_late_start_where_their_calls_take_two_seconds(
+    how: str, relays: int, cost_ms: int
 ) -> None:
-    # Those that wait at the return are in its queue already, and some of them have waited too long by then.
+    # After a hang those that wait are in its queue already, and some of them have waited too long by then.
     assert relays * cost_ms <= 2000
     for down_ms in DOWN:
         for seed in range(3):
-            assert Fleet(relays, cost_ms, down_ms, "hung", seed).last_ms <= NEWS_MS
+            assert Fleet(relays, cost_ms, down_ms, how, seed).last_ms <= NEWS_MS
 
 
-@pytest.mark.parametrize("relays, cost_ms", [(2, 13), (8, 43), (23, 43)])
+@pytest.mark.parametrize("relays, cost_ms", [(2, 13), (8, 43), (30, 43)])
 def test_a_few_relays_cannot_have_overloaded_it_whatever_it_answers(relays: int, cost_ms: int) -> None:
-    # Down, it may keep calls waiting before it fails them: so few could not fill its queue at 130 ms a call.
+    # Down, it may keep calls waiting before it fails them: so few leave it time at 130 ms a call as well.
     for down_ms in DOWN:
         for seed in range(3):
             assert Fleet(relays, cost_ms, down_ms, "waits", seed).last_ms <= NEWS_MS
