Take a discovery that keeps calls waiting to be down, where calls of all fit in, and call on in time

Now such endings keep the wait within 2 s for 70 s after a watch that stood has ended, where calls as quick as were seen (48 answers in a second) leave time for all (up to 214 relays), and until discovery shows that it is down in another way.

--- a/sageturn/backoff.py
+++ b/sageturn/backoff.py
@@ -16,6 +16,7 @@
 CONNECT_MS, ANSWER_MS, SILENCE_MS = 1000.0, 3500.0, 3200.0
 SPENT_MS = {
     ListFailure.UNREACHED: CONNECT_MS,
+    ListFailure.OVERLOADED: 3000.0,
     ListFailure.UNANSWERED: ANSWER_MS,
     ListFailure.SILENT: SILENCE_MS,
 }
@@ -27,12 +28,16 @@
 DOUBTED_MS = NEWS_MS - ROOM_MS - SILENCE_MS  # first calls, once the list held is seen to be out of date
 WAIT_LEAST_MS = 1050.0  # the longest wait of a lone relay after a failed call: it does not hammer either
 JITTER_LEAST = 1.0 / 3.0  # of the longest wait: waits are even between that part and the whole
-# Discovery handles one call after another. Nothing tells a relay what one costs it: 13 to 43 ms were seen,
-# and 130 ms in a queue that was overloaded. Calls are spread for the slowest while there is time for that.
-CALL_MS, SLOW_CALL_MS = 43.0, 130.0
+# Discovery handles one call after another. Nothing tells a relay what one costs it: 48 answers in a second
+# were seen, single ones after 43 ms, and 130 ms each in a queue that was overloaded. Calls are spread for
+# the slowest while there is time for that.
+USUAL_CALL_MS, CALL_MS, SLOW_CALL_MS = 21.0, 43.0, 130.0
 QUEUE_MS = 3000.0  # a longer queue makes calls fail, and discovery works on those too
 QUEUED_MS = 1000.0  # what fails sooner was never in that queue: discovery was down, or turned it away
 OVERLOADED_MOST = 2.0  # of the time beyond the queue that slow calls of all would take: the mean wait at last
+# One that is down may keep its calls waiting as an overloaded one does, and answer 503 after 2 s. It is taken
+# to be down where calls as quick as usual leave time for all, and a watch that stood was the last thing had.
+FIT_MS, DOWN_MS = 4500.0, 70000.0  # for so long: a minute, and two calls
 PUSHED_MS = 150.0  # the longest wait where lists are pushed: an agent at hand is asked, and shared by nobody
 
 
@@ -59,6 +64,7 @@
         self._queue_ms = self._wait_ms if pushed else max(self._wait_ms, 1.5 * usual_ms)
         self._top_ms = self._wait_ms if pushed else max(self._queue_ms, 1.5 * OVERLOADED_MOST * slow_ms)
         self._overloaded = 0  # times in a row, less what has failed otherwise since
+        self._fits, self._down_until_ms = relays * USUAL_CALL_MS <= FIT_MS, float("-inf")
         self._lost_ms = float("-inf")
 
     def first_ms(self, doubted: bool = False) -> float:
@@ -73,15 +79,17 @@
             # is no better than a call that failed.
             soon, self._lost_ms = now_ms >= self._lost_ms + self._again_ms, now_ms
             if soon:
+                self._down_until_ms = now_ms + DOWN_MS if self._fits else now_ms
                 return min(self._spread_ms, most_ms) * self._rng.random()
         elif failure is ListFailure.OVERLOADED:
             # Once may be chance, as when discovery goes down over its queue: the news come in time then.
-            most_ms = min(self._queue_ms, NEWS_MS - ROOM_MS)
-            if self._overloaded:
-                most_ms = min(self._queue_ms * 2.0**self._overloaded, self._top_ms)
-            self._overloaded = min(self._overloaded + 1, 20)
-        else:  # whatever queue there was has had time to come down
+            if now_ms >= self._down_until_ms:
+                if self._overloaded and self._top_ms > self._wait_ms:
+                    most_ms = min(self._queue_ms * 2.0**self._overloaded, self._top_ms)
+                self._overloaded = min(self._overloaded + 1, 20)
+        else:  # whatever queue there was has had time to come down, and this is how it is down
             self._overloaded = max(self._overloaded - 1, 0)
+            self._down_until_ms = now_ms
         return most_ms * (JITTER_LEAST + (1.0 - JITTER_LEAST) * self._rng.random())
 
     def succeeded(self) -> None:
