Begin no connection for a client that has left, ended its stream or outlived its key

Only the first byte was held back for a client that had gone: the connection was still begun, also when its line and its FIN lay together in the backlog, and on XMPP a stream's end that lay unread under TLS was not seen at all, so that the bind followed it. A look before the connect and before the write (RequestLife.held_back) now reads what lies unread on the spot, and alone: two readers could change the order of a client's words.

A keyed request's further attempt was bound to its key's time when the module decided on it; the connection may come up 1.5 s later. The same look now holds it back, and a write that the kernel doesn't take at once ends with the key's time.

A close over unread bytes reset the connection: a polite close that is cut off, and an evicted XMPP client's, read first. An XMPP client that breaks its stream while it waits hears policy-violation instead of a bare close.

--- a/sageturn/core/requests.py
+++ b/sageturn/core/requests.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -33,7 +34,8 @@
     async def call(self, endpoint: str, patience_ms: float, connect_ms: float) -> Ending | None:
         """One outbound call; None when it stands. Cancelled when it is called off: it must then let go.
 
-        In the moment before it writes the request's first byte it asks its life's ``before_writing``.
+        Before it connects it asks its life's ``held_back``, and ``before_writing`` in the moment before it
+        writes the request's first byte.
         """
 
     async def drop(self) -> None:
@@ -89,7 +91,7 @@
         self.over = asyncio.Event()  # a stop has come to its end: what is still owed is owed at once
         self._leaving: asyncio.Future[Ending] = asyncio.get_running_loop().create_future()
         self.written = False  # something of the attempt that is out may have been written
-        self._may_have_run = False  # an earlier attempt, or this one
+        self._ran_ms: float | None = None  # when the first attempt began that may have run
         self._class = module.classes.get(ask.class_name, module.settings.classes[0])
 
     @property
@@ -154,7 +156,8 @@
             await self._stand(attempt, endpoint)
             return True
         self.record.ending = ending
-        self._may_have_run = self._may_have_run or may_have_run(ending)
+        if self._ran_ms is None and may_have_run(ending):
+            self._ran_ms = sent_ms
         if ending in CLIENT_OVER or self.over.is_set():
             # Nothing more is owed to the module's request, but the outcome of its attempt is.
             await self._module.tell(api.ClientGone(self.id))
@@ -173,24 +176,38 @@
 
     def _hurried(self) -> Answer:
         """What a request hears that a stop leaves no more time: a refusal only where that is no lie."""
-        refused = self._class.refusable(self._may_have_run)
+        refused = self._class.refusable(self._ran_ms is not None)
         return Answer(refused, HURRY_RETRY_MS if refused else 0.0, "shutdown")
 
-    def before_writing(self, wanted: Callable[[], bool] | None = None) -> Ending | None:
-        """Why nothing of the request may be written any more, or None; from then on it may have run.
+    def key_left_ms(self) -> float:
+        """How long a further attempt may still be written: its last byte counts, not when it was decided.
 
-        ``wanted``: whether its endpoint may still be given it. Up to here a connection came up, for as long
-        as a drain's grace, or other work had the core.
+        Counted from the same moment as the module's, or a little later, so that the module won't decide on
+        another attempt once this says that it is too late for one.
+        """
+        if self._ran_ms is None or self._class.effect != "keyed":
+            return math.inf
+        return self._ran_ms + self._class.key_ttl_ms - self._module.clock.now_ms()
+
+    def held_back(self, wanted: Callable[[], bool] | None = None) -> Ending | None:
+        """Why nothing may be begun for the request at this very moment, or None. For as long as a connection
+        comes up, or other work has the core, its client may have gone, a stop come to its end, its key's time
+        run out, or ``wanted`` turned false: whether its endpoint may still be given it.
         """
         if self._leaving.done():
             return self._leaving.result()
         if (gone := self._wire.look_at_client()) is not None:
             return gone
-        if self.over.is_set() or (wanted is not None and not wanted()):
+        if self.over.is_set() or self.key_left_ms() < 0 or (wanted is not None and not wanted()):
             return Ending.NOT_SENT
-        self.written = True
         return None
 
+    def before_writing(self, wanted: Callable[[], bool] | None = None) -> Ending | None:
+        """As ``held_back``; where it gives None, the request may have run from then on."""
+        ending = self.held_back(wanted)
+        self.written = ending is None
+        return ending
+
     async def _call(self, endpoint: str, patience_ms: float, connect_ms: float) -> Ending | None:
         self.written = False
         if self._leaving.done():
@@ -284,7 +301,8 @@
                 break
         if ending is not None:
             self.record.ending = ending
-            self._may_have_run = may_have_run(ending)
+            if may_have_run(ending):
+                self._ran_ms = self.record.began_ms
             if ending not in CLIENT_GONE:
                 lost = Answer(refused=False, why="lost")
                 await self._final(self._hurried() if self.over.is_set() else lost)
--- a/sageturn/fronts/platform.py
+++ b/sageturn/fronts/platform.py
@@ -25,11 +25,12 @@
     Connect,
     close_at_once,
     close_politely,
-    connect,
     end_sending,
     reset,
     send_gathered,
+    until_seen,
 )
+from sageturn.net.sockets import connect_unreserved as connect
 from sageturn.reports import TEXT_MOST, read_report
 
 log = logging.getLogger(__name__)
@@ -147,6 +148,8 @@
         wanted = None
         if not self._line.ask.standing_at:
             wanted = partial(self._shared.destinations.ready, endpoint, address)
+        if (held_back := self.life.held_back(wanted)) is not None:
+            return held_back
         sock = await connect(address, connect_ms / 1000.0)
         if isinstance(sock, Connect):
             return CONNECT_ENDINGS[sock]
@@ -174,7 +177,10 @@
         line, view = self._line, memoryview(self._buffer)
         wait = b"%d" % max(1, int((until - loop.time()) * 1000.0))
         try:
-            await send_gathered(sock, (view[: line.wait_from], wait, view[line.wait_to : line.end]))
+            async with asyncio.timeout_at(min(until, loop.time() + self.life.key_left_ms() / 1000.0)):
+                await send_gathered(sock, (view[: line.wait_from], wait, view[line.wait_to : line.end]))
+        except TimeoutError:
+            raise  # its last byte may have been taken in this very instant
         except OSError:
             return Ending.CUT_BEFORE_WRITTEN
         answer = bytearray(LINE_MOST)
@@ -200,17 +206,7 @@
         return words.get(word, other)
 
     async def client_left(self) -> Ending:
-        loop = asyncio.get_running_loop()
-        waste = bytearray(1024)
-        while len(self._ahead) < LINE_MOST:
-            try:
-                size = await loop.sock_recv_into(self._client, waste)
-            except OSError:
-                return Ending.CLIENT_RESET
-            if not size:
-                return Ending.CLIENT_LEFT
-            self._ahead += waste[:size]
-        return Ending.CLIENT_FAULT
+        return await until_seen(self._client, self.look_at_client)
 
     def look_at_client(self) -> Ending | None:
         while len(self._ahead) < LINE_MOST:
--- a/sageturn/fronts/xmpp/channel.py
+++ b/sageturn/fronts/xmpp/channel.py
@@ -24,6 +24,13 @@
         size = await asyncio.get_running_loop().sock_recv_into(self.sock, self.buffer)
         return bytes(self.buffer[:size])
 
+    def at_hand(self) -> bytes | None:
+        """What lies unread, without waiting: b"" at the end, None for nothing. Nobody may be receiving."""
+        try:
+            return self.sock.recv(CHUNK)
+        except BlockingIOError:
+            return None
+
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self.sock, data)
 
@@ -67,6 +74,18 @@
             except ssl.SSLZeroReturnError:
                 return b""
 
+    def at_hand(self) -> bytes | None:
+        while True:
+            try:
+                return self._tls.read(CHUNK)
+            except ssl.SSLWantReadError:
+                data = super().at_hand()
+                if not data:
+                    return data
+                self._in.write(data)
+            except ssl.SSLZeroReturnError:
+                return b""
+
     async def send(self, data: bytes) -> None:
         self._tls.write(data)
         await self._flush()
--- a/sageturn/fronts/xmpp/front.py
+++ b/sageturn/fronts/xmpp/front.py
@@ -28,17 +28,20 @@
     CONNECT_ENDINGS,
     LINGER_S,
     Connect,
+    close_at_once,
     close_politely,
-    connect,
     has_ended,
     reset,
+    until_seen,
 )
+from sageturn.net.sockets import connect_unreserved as connect
 
 log = logging.getLogger(__name__)
 
 HEADER_S = 2.0  # until the first stream's header is whole: as on the platform, the silent are cut off soon
 REST_S = 0.7  # a stanza that is on the wire when its client must go has this long to end
 LAST_WORD_S = 0.5
+WAITING_MOST = 16  # stanzas that a client may send before it is answered
 TURN_AWAY = (
     b"<?xml version='1.0'?>"
     + f"<stream:stream xmlns='jabber:client' xmlns:stream='{STREAMS}' version='1.0'>".encode()
@@ -80,7 +83,9 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(LINGER_S):
                 await session.fault(fault, options.domain)
-            if not newcomer.evicted:
+            if newcomer.evicted:
+                close_at_once(sock, b"")  # its descriptor is wanted
+            else:
                 await close_politely(sock)
 
 
@@ -109,6 +114,9 @@
         if listed is None:
             return Ending.NOT_SENT
         address = (listed[0], self._options.port) if self._options.port else listed
+        wanted = partial(self._shared.destinations.ready, endpoint, listed)
+        if (held_back := self.life.held_back(wanted)) is not None:
+            return held_back
         sock = await connect(address, connect_ms / 1000.0)
         if isinstance(sock, Connect):
             return CONNECT_ENDINGS[sock]
@@ -116,7 +124,6 @@
         stands = False
         try:
             async with asyncio.timeout_at(until):
-                wanted = partial(self._shared.destinations.ready, endpoint, listed)
                 ask = partial(self.life.before_writing, wanted)
                 self._jid = await Dialer(session, self._options.endpoint, self._wish, ask).run()
             stands = True
@@ -136,19 +143,27 @@
         return None
 
     async def client_left(self) -> Ending:
-        try:
-            while len(self._waiting) < 16:
-                piece = await self._client.next()
-                if piece is None or isinstance(piece, Closed):
-                    return Ending.CLIENT_LEFT
-                if isinstance(piece, Stanza):
-                    self._waiting.append(piece)
-        except (OSError, StreamFault):
-            return Ending.CLIENT_RESET
-        return Ending.CLIENT_FAULT
+        return await until_seen(self._client.channel.sock, self.look_at_client)
 
     def look_at_client(self) -> Ending | None:
-        return Ending.CLIENT_LEFT if has_ended(self._client.channel.sock) else None
+        """A client that ends its stream has cancelled its request, though its connection may stay open."""
+        pieces = self._client.parser.pieces
+        try:
+            ended = self._client.take_at_hand()
+        except OSError:
+            return Ending.CLIENT_RESET
+        except StreamFault:
+            return Ending.CLIENT_FAULT
+        while pieces and len(self._waiting) < WAITING_MOST:
+            piece = pieces.popleft()
+            if isinstance(piece, Closed):
+                return Ending.CLIENT_LEFT
+            if isinstance(piece, Stanza):
+                self._waiting.append(piece)
+        # What lies unread beyond that much, or is half a record of TLS, hides no end of the connection.
+        if ended or has_ended(self._client.channel.sock):
+            return Ending.CLIENT_LEFT
+        return Ending.CLIENT_FAULT if len(self._waiting) >= WAITING_MOST else None
 
     async def answer(self, answer: Answer) -> None:
         await self._client.end(answer_xml(answer))
--- a/sageturn/fronts/xmpp/session.py
+++ b/sageturn/fronts/xmpp/session.py
@@ -10,6 +10,8 @@
 from sageturn.fronts.xmpp.errors import CLOSE, STREAMS, StreamFault, error_xml
 from sageturn.fronts.xmpp.stream import CLIENT, Closed, Opened, Piece, Stanza, StreamParser
 
+AT_ONCE = 65536  # octets; one that floods must not hold the core
+
 
 class Session:
     def __init__(self, channel: Channel) -> None:
@@ -41,6 +43,16 @@
             self.parser.feed(data)
         return self.parser.pieces.popleft()
 
+    def take_at_hand(self) -> bool:
+        """Parses what lies unread, up to ``AT_ONCE``, without waiting; True if it ended without a close."""
+        until = self.received + AT_ONCE
+        while self.received < until and (data := self.channel.at_hand()) is not None:
+            if not data:
+                return True
+            self.received += len(data)
+            self.parser.feed(data)
+        return False
+
     async def expect_open(self) -> Opened:
         piece = await self.next()
         if piece is None:
--- a/sageturn/net/sockets.py
+++ b/sageturn/net/sockets.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import errno
+import os
 import resource
 import select
 import socket
 import struct
-from collections.abc import Sequence
-from contextlib import suppress
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from enum import Enum, auto
 
 from sageturn.core.endings import Ending
@@ -19,6 +20,8 @@
 LINGER_S = 0.5  # how long a closed connection's other side is awaited
 LINGER_MOST = 65536  # and how much it may still send; more comes only from one that floods
 FLOOD_S = 0.1  # it has the answer by then: it reads what it is sent
+# The watch and the one that takes its place, a link between stores, and the configuration's file.
+RESERVED = 4
 
 
 class Connect(Enum):
@@ -36,11 +39,58 @@
 }
 
 
+class Reserve:
+    """Descriptors that no client can take: held open on nothing, and given up for what must not wait.
+
+    Clients who stand or rest may fill all others for as long as they like. Without these the watch would get
+    none, and the relay would go on with an old list.
+    """
+
+    def __init__(self) -> None:
+        self._held: list[int] = []
+        self._size = 0
+
+    def hold(self, size: int) -> None:
+        self._size = size
+        while len(self._held) > size:
+            os.close(self._held.pop())
+        self.refill()
+
+    def refill(self) -> bool:
+        """Asked before a client takes a descriptor: False while one that was given up is not made good."""
+        while len(self._held) < self._size:
+            try:
+                self._held.append(os.open(os.devnull, os.O_RDONLY))
+            except OSError:
+                return False
+        return True
+
+    def give_up(self) -> bool:
+        """One is free from here on, until the next await. False if there is none left to give up."""
+        if not self._held:
+            return False
+        os.close(self._held.pop())
+        return True
+
+    @contextmanager
+    def lent(self) -> Iterator[None]:
+        """For a file that is read and closed again in one turn of the loop."""
+        self.give_up()
+        try:
+            yield
+        finally:
+            self.refill()
+
+
+RESERVE = Reserve()  # one for the process, as its table of descriptors is
+
+
 def bound_descriptors(most: int) -> None:
     """So that running out shows as an error that the listener knows how to answer."""
     _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if hard == resource.RLIM_INFINITY or hard >= most:
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    RESERVE.hold(RESERVED)
 
 
 def prepare(sock: socket.socket) -> socket.socket:
@@ -49,9 +99,25 @@
     return sock
 
 
-async def connect(address: tuple[str, int], timeout_s: float) -> socket.socket | Connect:
+def _new_socket(reserved: bool) -> socket.socket:
+    try:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        if not reserved or error.errno not in SHORT_OF_DESCRIPTORS or not RESERVE.give_up():
+            raise
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+
+async def connect_unreserved(address: tuple[str, int], timeout_s: float) -> socket.socket | Connect:
+    """As ``connect``, for a client's sake: what is held in reserve is made good first, and not touched."""
+    return await connect(address, timeout_s, False) if RESERVE.refill() else Connect.NO_DESCRIPTOR
+
+
+async def connect(
+    address: tuple[str, int], timeout_s: float, reserved: bool = True
+) -> socket.socket | Connect:
     try:
-        sock = prepare(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        sock = prepare(_new_socket(reserved))
     except OSError as error:
         return Connect.NO_DESCRIPTOR if error.errno in SHORT_OF_DESCRIPTORS else Connect.REFUSED
     try:
@@ -85,6 +151,28 @@
         sent = 0
 
 
+async def until_seen(sock: socket.socket, look: Callable[[], Ending | None]) -> Ending:
+    """Calls ``look`` at once and whenever ``sock`` has something to read, until it gives an ending.
+
+    ``look`` alone reads the socket then, without waiting, and may be called by others as well: what one of
+    two readers had read, but not yet been woken to put in its place, would stand behind what the other took.
+    """
+    loop = asyncio.get_running_loop()
+    seen: asyncio.Future[Ending] = loop.create_future()
+
+    def again() -> None:
+        if not seen.done() and (found := look()) is not None:
+            seen.set_result(found)
+
+    again()
+    loop.add_reader(sock, again)
+    try:
+        return await seen
+    finally:
+        if sock.fileno() >= 0:
+            loop.remove_reader(sock)
+
+
 def has_ended(sock: socket.socket) -> bool:
     """Whether the other side has ended or reset it, though what it said before may still lie unread."""
     ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -110,6 +198,11 @@
     with suppress(OSError):
         sock.send(text)
         sock.shutdown(socket.SHUT_WR)
+    _close_over_nothing(sock)
+
+
+def _close_over_nothing(sock: socket.socket) -> None:
+    with suppress(OSError):
         left = LINGER_MOST
         while left > 0 and (size := len(sock.recv(8192))):
             left -= size
@@ -137,7 +230,7 @@
                 if left <= 0:
                     await asyncio.sleep(FLOOD_S)
     finally:
-        sock.close()
+        _close_over_nothing(sock)  # also when it is cut off while it waits
 
 
 def bind(address: tuple[str, int]) -> socket.socket:
@@ -145,6 +238,7 @@
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # whoever is accepted has it from here
         sock.bind(address)
         sock.setblocking(False)
     except BaseException:
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,306 @@
+"""Clients that leave before they are answered: nothing is begun for them any more, first or further."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable, Coroutine
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+import pytest
+from net_peers import SETTINGS, ask, first_line, relaying, silent, up
+from test_xmpp import client_tls
+from test_xmpp import relaying as relaying_xmpp
+from xmpp_peers import Client, Server
+
+from sageturn.core.endings import Ending
+from sageturn.fronts import platform
+from sageturn.fronts.xmpp import front as xmpp_front
+from sageturn.net.sockets import Connect
+
+GONE = (Ending.CLIENT_LEFT, Ending.CLIENT_RESET)
+
+
+def story(coro: Any) -> None:
+    asyncio.run(asyncio.wait_for(coro, 30))
+
+
+async def until(true: Callable[[], Any]) -> None:
+    while not true():
+        await asyncio.sleep(0.002)
+
+
+class Aside:
+    """A client with a thread and a loop of its own: it can act while the relay's loop stands still."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self._thread.start()
+
+    def do(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        return asyncio.run_coroutine_threadsafe(coro, self._loop).result(10)
+
+    async def does(self, coro: Coroutine[Any, Any, Any]) -> Any:
+        return await asyncio.wrap_future(asyncio.run_coroutine_threadsafe(coro, self._loop))
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+
+# ---------------------------------------------------------------- in the instant before an attempt begins
+
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+def fin(client: socket.socket) -> None:
+    client.close()
+
+
+def end_sending(client: socket.socket) -> None:
+    client.shutdown(socket.SHUT_WR)
+
+
+def reset(client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+    client.close()
+
+
+def words_and_fin(client: socket.socket) -> None:
+    client.sendall(b"M 1\r\n" * 700)  # more than one reading takes, less than a fault
+    client.close()
+
+
+class Begun:
+    """Counts connections that are begun, and lets the first ones fail."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, front: Any, failing: int = 0) -> None:
+        self.all = 0
+        self._connect, self._failing = front.connect, failing
+        monkeypatch.setattr(front, "connect", self._begin)
+
+    async def _begin(self, address: tuple[str, int], timeout_s: float) -> Any:
+        self.all += 1
+        return Connect.NEVER_UP if self.all <= self._failing else await self._connect(address, timeout_s)
+
+
+def as_call_begins(
+    monkeypatch: pytest.MonkeyPatch, front: Any, attempt: int, act: Callable[[], None]
+) -> None:
+    """Does ``act`` as the n-th call of a wire is begun: the loop does not turn before the call goes on."""
+    call, calls = front._Peer.call, 0
+
+    async def acting(self: Any, *args: Any) -> Any:
+        nonlocal calls
+        calls += 1
+        if calls == attempt:
+            act()
+        return await call(self, *args)
+
+    monkeypatch.setattr(front._Peer, "call", acting)
+
+
+@pytest.mark.parametrize("leave", [fin, end_sending, reset, words_and_fin], ids=lambda leave: leave.__name__)
+@pytest.mark.parametrize("attempt", [1, 2])
+def test_no_connection_is_begun_for_a_client_that_has_left(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, leave: Any, attempt: int
+) -> None:
+    # Only what was written was held back: the connection for it was begun, and took a host's place and time.
+    async def go() -> None:
+        async with relaying(tmp_path, up, up) as (relay, endpoints):
+            await until(lambda: relay.destinations.version == 2)
+            begun = Begun(monkeypatch, platform, attempt - 1)
+            as_call_begins(monkeypatch, platform, attempt, lambda: leave(client))
+            records: list[Any] = []
+            monkeypatch.setattr(relay.shared, "ended", records.append)
+            client = socket.create_connection(relay.listener.address)
+            client.sendall(first_line())
+            await until(lambda: records and not relay.module._balancer.requests)
+            client.close()
+            assert begun.all == attempt - 1 and not any(e.open for e in endpoints)
+            assert records[0].ending in GONE
+
+    story(go())
+
+
+async def stream_end(client: Client) -> None:
+    client.say("</stream:stream>")
+    await client.writer.drain()
+
+
+async def connection_end(client: Client) -> None:
+    client.writer.transport.abort()
+
+
+async def words_and_stream_end(client: Client) -> None:
+    client.say("<message/>" * 3 + "</stream:stream>")
+    await client.writer.drain()
+
+
+XMPP_LEAVES = [stream_end, connection_end, words_and_stream_end]
+
+
+@pytest.mark.parametrize("leave", XMPP_LEAVES, ids=lambda leave: leave.__name__)
+@pytest.mark.parametrize("moment", ["first", "further", "bind"])
+def test_nothing_is_begun_for_an_xmpp_client_that_has_left_or_ended_its_stream(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, leave: Any, moment: str
+) -> None:
+    # A stream's end lay unread under TLS: only the connection's was looked for, and the bind followed.
+    bound: list[str] = []
+
+    async def told(server: Server) -> None:
+        bound.append(await server.accept())
+
+    async def go() -> None:
+        with closing(Aside()) as aside:
+            async with relaying_xmpp(tmp_path, told, told) as (relay, endpoints):
+                await until(lambda: relay.destinations.version == 2)
+                begun = Begun(monkeypatch, xmpp_front, moment == "further")
+                if moment == "bind":
+                    ask_life, at = xmpp_front.RequestLife.before_writing, list[bool]()
+
+                    def leaves_first(self: Any, wanted: Any = None) -> Any:
+                        aside.do(leave(client))
+                        at.append(True)
+                        return ask_life(self, wanted)
+
+                    monkeypatch.setattr(xmpp_front.RequestLife, "before_writing", leaves_first)
+                else:
+                    number = 1 + (moment == "further")
+                    as_call_begins(monkeypatch, xmpp_front, number, lambda: aside.do(leave(client)))
+                records: list[Any] = []
+                monkeypatch.setattr(relay.shared, "ended", records.append)
+                client = await aside.does(Client.connect(relay.xmpp.address))
+                await aside.does(client.login(client_tls()))
+                await aside.does(say_wish(client))
+                await until(lambda: records and not relay.module._balancer.requests)
+                await aside.does(connection_end(client))
+                assert records[0].ending in GONE and not records[0].stood
+                assert begun.all == (moment != "first")
+                assert sum(len(e.lines) for e in endpoints) == (moment == "bind") and not bound
+
+    story(go())
+
+
+async def say_wish(client: Client) -> None:
+    client.wish()
+    await client.writer.drain()
+
+
+# ---------------------------------------------------------------- many at once, on a core that others hold
+
+CROWD = 300
+BUSY_S = 0.15  # past the time within which an attempt may still begin
+
+
+@pytest.mark.parametrize("comes_up", [True, False])
+def test_hundreds_that_leave_while_the_core_is_held_cost_no_attempt(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, comes_up: bool
+) -> None:
+    # In one turn of the loop all connections come up, or fail so that further attempts are due, and all
+    # clients have been gone for longer than an attempt may come after them.
+    async def go() -> None:
+        tenants = [{"name": "t", "fraction": 1.0, "allowancePerS": 10.0 * CROWD}]
+        settings = {**SETTINGS, "accounts": tenants}
+        async with relaying(tmp_path, silent, silent, settings=settings) as (relay, endpoints):
+            await until(lambda: relay.destinations.version == 2)
+            connect, begun, held = platform.connect, 0, asyncio.Event()
+
+            async def waits(address: tuple[str, int], timeout_s: float) -> Any:
+                nonlocal begun
+                begun += 1
+                await held.wait()
+                return await connect(address, timeout_s) if comes_up else Connect.NEVER_UP
+
+            monkeypatch.setattr(platform, "connect", waits)
+            records: list[Any] = []
+            monkeypatch.setattr(relay.shared, "ended", records.append)
+            clients = [await ask(relay.listener.address, first_line(3000)) for _ in range(CROWD)]
+            await until(lambda: begun == CROWD)
+            held.set()
+            for _, writer in clients:
+                writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+            time.sleep(BUSY_S)
+            await until(lambda: len(records) == CROWD and not relay.module._balancer.requests)
+            assert begun == CROWD and not any(line for e in endpoints for line in e.lines)
+            assert {record.ending for record in records} <= set(GONE)
+            for _, writer in clients:
+                writer.close()
+
+    story(go())
+
+
+def test_those_who_left_while_they_lay_in_the_backlog_cost_no_attempt(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def go() -> None:
+        async with relaying(tmp_path, up, up) as (relay, endpoints):
+            await until(lambda: relay.destinations.version == 2)
+            begun = Begun(monkeypatch, platform)
+            records: list[Any] = []
+            monkeypatch.setattr(relay.shared, "ended", records.append)
+            for _ in range(100):  # the loop does not turn here
+                client = socket.create_connection(relay.listener.address)
+                client.sendall(first_line())
+                client.close()
+            time.sleep(BUSY_S)
+            await until(lambda: len(records) == 100 and not relay.module._balancer.requests)
+            assert begun.all == 0 and not any(e.open for e in endpoints)
+
+    story(go())
+
+
+def test_words_read_in_two_places_stay_in_their_order(tmp_path: Path) -> None:
+    # One reader had read the first and was not yet woken; the look before writing then read the second, and
+    # put it in front.
+    async def go() -> None:
+        async with relaying(tmp_path, silent) as (relay, (endpoint,)):
+            loop = asyncio.get_running_loop()
+            reader, writer = await ask(relay.listener.address, first_line(3000))
+            await until(lambda: endpoint.lines)
+            (life,) = relay.lives
+            wire: Any = life._wire
+            seen: asyncio.Future[None] = loop.create_future()
+
+            def each_turn() -> None:
+                # Queued a turn before whatever the poll of this turn wakes, so it runs in between.
+                try:
+                    wire._client.recv(1, socket.MSG_PEEK)
+                except BlockingIOError:
+                    writer.write(b"M 2\r\n")
+                    assert wire.look_at_client() is None
+                    seen.set_result(None)
+                else:
+                    loop.call_soon(each_turn)
+
+            writer.write(b"M 1\r\n")
+            loop.call_soon(each_turn)
+            await seen
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert wire._ahead == b"M 1\r\nM 2\r\n"
+            writer.close()
+
+    story(go())
+
+
+def test_an_xmpp_client_that_breaks_its_stream_while_it_waits_hears_why(tmp_path: Path) -> None:
+    # It was taken for one that had left, and its connection closed without a word.
+    async def go() -> None:
+        async with relaying_xmpp(tmp_path, lambda server: server.rest()) as (relay, (endpoint,)):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            client.wish()
+            await until(lambda: endpoint.lines)
+            client.say("<not <well>")
+            assert "<policy-violation " in await client.rest()
+            client.writer.close()
+
+    story(go())
