--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -10,7 +10,7 @@
 from contextlib import suppress
 
 from sageturn.net.admission import Admission, Newcomer
-from sageturn.net.sockets import SHORT_OF_DESCRIPTORS, bind, close_at_once, prepare
+from sageturn.net.sockets import RESERVE, SHORT_OF_DESCRIPTORS, bind, close_at_once, prepare
 
 log = logging.getLogger(__name__)
 
@@ -63,6 +63,8 @@
     def _take(self, most: int) -> bool:
         """Takes those who wait, up to so many; True when that needs a descriptor more than there is."""
         for _ in range(most):
+            if not RESERVE.refill():
+                return True
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -80,8 +82,13 @@
 
     def shut(self) -> None:
         """Takes everyone whom this machine has accepted so far, and nobody from then on."""
+        RESERVE.hold(0)  # nothing that it is kept for is begun any more
         if self._sock.fileno() >= 0 and self._take(BACKLOG):
-            log.error("no descriptor is left for clients that wait to be taken")
+            for _ in range(BACKLOG):  # one after the other, each on the one descriptor that there is
+                if (sock := self._take_on_spare()) is None:
+                    break
+                close_at_once(sock, self._turn_away)
+                self._renew_spare()
         self.close()
 
     def _own(self, serving: Coroutine[None, None, None]) -> None:
@@ -109,21 +116,26 @@
             await self._answer_short()
 
     async def _answer_short(self) -> None:
-        if self._spare is None:
+        sock = self._take_on_spare()
+        if sock is None:
             await asyncio.sleep(SHORT_PAUSE_S)
         else:
+            await self._turn_away_one(sock)
+        self._renew_spare()
+
+    def _take_on_spare(self) -> socket.socket | None:
+        if self._spare is not None:
             os.close(self._spare)
             self._spare = None
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                await asyncio.sleep(SHORT_PAUSE_S)
-            else:
-                await self._turn_away_one(sock)
         try:
-            self._spare = os.open(os.devnull, os.O_RDONLY)
+            return self._sock.accept()[0]
         except OSError:
-            self._spare = None
+            return None
+
+    def _renew_spare(self) -> None:
+        if self._spare is None:
+            with suppress(OSError):
+                self._spare = os.open(os.devnull, os.O_RDONLY)
 
     async def _turn_away_one(self, sock: socket.socket) -> None:
         """Its first bytes are read before the answer: closed over unread ones, the answer would be lost."""
--- a/sageturn/net/probes.py
+++ b/sageturn/net/probes.py
@@ -11,7 +11,8 @@
 
 from sageturn.core.tasks import end_task
 from sageturn.interface import Probed
-from sageturn.net.sockets import Connect, connect
+from sageturn.net.sockets import Connect
+from sageturn.net.sockets import connect_unreserved as connect
 from sageturn.reports import TEXT_MOST, read_report
 
 log = logging.getLogger(__name__)
--- a/sageturn/relay.py
+++ b/sageturn/relay.py
@@ -27,7 +27,7 @@
 from sageturn.net.admission import Admission
 from sageturn.net.discovery import DiscoveryClient
 from sageturn.net.listener import Listener
-from sageturn.net.sockets import bound_descriptors
+from sageturn.net.sockets import RESERVE, bound_descriptors
 from sageturn.store.records import Record as Stored
 from sageturn.store.replica import Replica
 from sageturn.store.store import Store
@@ -199,7 +199,8 @@
             if self._read_again is None:
                 continue
             try:
-                new = self._read_again(self._config)
+                with RESERVE.lent():  # clients may hold all other descriptors
+                    new = self._read_again(self._config)
             except ConfigError as error:
                 log.error("configuration not taken, the old one stays in force: %s", error)
                 continue
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -177,3 +177,98 @@
             await until(lambda: nothing_left(relay))
 
     story(go())
+
+
+# ---------------------------------------------------------------- the key's time, up to the last byte
+
+KEY_MS = 5000.0  # of ``deployment``
+
+
+class BreaksOnce:
+    """The first attempt may have run; every later one would be served."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    async def __call__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, line: bytes
+    ) -> None:
+        if line:
+            self.lines.append(line)
+        if len(self.lines) > 1:
+            await up(reader, writer, line)
+
+
+@pytest.mark.parametrize("scope,word", [("all", b"BUSY"), ("cell", b"ERR ")])
+@pytest.mark.parametrize("late_ms", [KEY_MS - 500.0, KEY_MS + 1.0])
+@pytest.mark.parametrize("moment", ["decided", "came up"])
+def test_a_further_attempt_is_written_within_the_keys_time_or_not_at_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, moment: str, late_ms: float, scope: str, word: bytes
+) -> None:
+    # The module asks for it in time, but a connection may come up 1.5 s later: the line was written whenever
+    # that was, and it is the last byte that counts.
+    async def go() -> None:
+        host = BreaksOnce()
+        settings = deployment("keyed", scope)
+        settings["classes"][0].update(aimMs=9000.0, hardLimitMs=9000.0)
+        async with relaying(tmp_path, host, host, settings=settings) as (relay, _):
+            await until(lambda: relay.destinations.version == 2)
+            connect, call, clock = platform.connect, platform._Peer.call, relay.module.clock
+            now_ms, calls, begun, passed = clock.now_ms, 0, 0, 0.0
+            monkeypatch.setattr(clock, "now_ms", lambda: now_ms() + passed)
+
+            async def calls_late(self: Any, *args: Any) -> Any:
+                nonlocal calls, passed
+                calls += 1
+                passed = late_ms if moment == "decided" and calls == 2 else passed
+                return await call(self, *args)
+
+            async def comes_up_late(address: tuple[str, int], timeout_s: float) -> Any:
+                nonlocal begun, passed
+                begun += 1
+                sock = await connect(address, timeout_s)
+                passed = late_ms if begun == 2 else passed
+                return sock
+
+            monkeypatch.setattr(platform._Peer, "call", calls_late)
+            monkeypatch.setattr(platform, "connect", comes_up_late)
+            reader, writer = await ask(relay.listener.address, first_line(9000))
+            heard = await reader.readline()
+            in_time = late_ms < KEY_MS
+            assert heard[:4] == (b"UP r" if in_time else word)
+            assert len(host.lines) == 1 + in_time
+            # Nor does the module decide on a third, which the same look would hold back again.
+            assert calls == 2 and begun == (2 if in_time or moment == "came up" else 1)
+            writer.close()
+            await until(lambda: nothing_left(relay))
+
+    story(go())
+
+
+def test_a_write_that_the_kernel_does_not_take_ends_with_the_keys_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def go() -> None:
+        host = BreaksOnce()
+        settings = deployment("keyed", "all")
+        settings["classes"][0].update(aimMs=9000.0, hardLimitMs=9000.0, keyTtlMs=300.0)
+        async with relaying(tmp_path, host, host, settings=settings) as (relay, _):
+            await until(lambda: relay.destinations.version == 2)
+            send, sent = platform.send_gathered, 0
+
+            async def stuck(*args: Any) -> None:
+                nonlocal sent
+                sent += 1
+                if sent == 2:
+                    await asyncio.sleep(3600)
+                await send(*args)
+
+            monkeypatch.setattr(platform, "send_gathered", stuck)
+            reader, writer = await ask(relay.listener.address, first_line(9000))
+            async with asyncio.timeout(4):  # and not the client's 9 s
+                assert (await reader.readline()).startswith(b"BUSY")
+            assert sent == 2 and len(host.lines) == 1
+            writer.close()
+            await until(lambda: nothing_left(relay))
+
+    story(go())
