Keep descriptors for the watch, and answer the backlog also when none is left

Clients that stand or rest can hold all descriptors for as long as they like; the watch then got none, and the relay went on with an old list. Four are held open on nothing (RESERVE): the watch, its successor, a store's link and the configuration's file may take them, and before a client gets a descriptor, for itself or its call, what was given up is made good. As the door was shut with no descriptor left, those in the backlog were reset; each is now answered on the listener's spare one. TCP_NODELAY is set on the listening sockets, so also on those that are turned away; a test looks at every socket of ours.

--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -128,7 +128,7 @@
             os.close(self._spare)
             self._spare = None
         try:
-            return self._sock.accept()[0]
+            return prepare(self._sock.accept()[0])
         except OSError:
             return None
 
@@ -139,8 +139,8 @@
 
     async def _turn_away_one(self, sock: socket.socket) -> None:
         """Its first bytes are read before the answer: closed over unread ones, the answer would be lost."""
-        sock.setblocking(False)
         try:
+            prepare(sock)
             with suppress(OSError, TimeoutError):
                 async with asyncio.timeout(SHORT_READ_S):
                     await asyncio.get_running_loop().sock_recv_into(sock, bytearray(8192))
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,295 @@
+"""Every socket of the relay's, and what a close or a want of descriptors does to it."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import gc
+import os
+import select
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import pytest
+from net_peers import SETTINGS, Streams, ask, first_line, relaying, silent, up
+from test_probing import FIELDS, probed_by
+from test_store import replica
+from test_xmpp import client_tls, echo
+from test_xmpp import relaying as relaying_xmpp
+from xmpp_peers import HEADER, Client
+
+from sageturn.core.drain import StopTimes
+from sageturn.net import listener
+from sageturn.net.admission import Limits
+from sageturn.net.sockets import RESERVE, Connect, Reserve, close_politely, connect, connect_unreserved
+from sageturn.store.store import Store
+
+
+def story(coro: Any) -> None:
+    asyncio.run(asyncio.wait_for(coro, 20))
+
+
+async def until(true: Any) -> None:
+    while not true():
+        await asyncio.sleep(0.005)
+
+
+# ---------------------------------------------------------------- nothing small is held back
+
+
+def ours(accepted_at: set[Any], dialled: set[Any]) -> list[tuple[str, socket.socket]]:
+    """The open connections of the relay's, by their addresses: all of these tests is in one process."""
+    found = []
+    for each in gc.get_objects():
+        if type(each) is socket.socket and each.fileno() >= 0 and each.type == socket.SOCK_STREAM:
+            try:
+                peer = each.getpeername()
+                if each.getsockname() in accepted_at:
+                    found.append(("accepted", each))
+                elif peer in dialled:
+                    found.append(("dialled", each))
+            except OSError:
+                continue  # it listens
+    return found
+
+
+def all_send_at_once(found: list[tuple[str, socket.socket]], directions: set[str]) -> bool:
+    assert {direction for direction, _ in found} == directions
+    return all(s.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for _, s in found)
+
+
+def test_every_socket_of_the_platforms_front_sends_small_writes_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Clients, endpoints, discovery's watch, and connections that are kept for probes.
+    monkeypatch.setitem(SETTINGS, "policyLimits", {**SETTINGS["policyLimits"], "probes": True})
+    monkeypatch.setitem(SETTINGS, "report", {"source": "probe", "fields": list(FIELDS)})
+    script, seen = probed_by()
+
+    async def go() -> None:
+        async with relaying(tmp_path, script) as (relay, (endpoint,)):
+            reader, writer = await ask(relay.listener.address, first_line())
+            assert await reader.readline() == b"UP r1\r\n"
+            await until(lambda: seen and relay.destinations.version == 2)
+            resting = await ask(relay.listener.address, b"")
+            await until(lambda: relay.admission.unasked)
+            dialled = {endpoint.address, relay.discovery._address}
+            found = ours({relay.listener.address}, dialled)
+            assert {s.getpeername() for d, s in found if d == "dialled"} == dialled
+            assert len(found) >= 5 and all_send_at_once(found, {"accepted", "dialled"})
+            for each in (writer, resting[1]):
+                each.close()
+
+    story(go())
+
+
+def test_every_socket_of_the_xmpp_front_sends_small_writes_at_once(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with relaying_xmpp(tmp_path, echo) as (relay, (endpoint,)):
+            client = await Client.connect(relay.xmpp.address)
+            await client.login(client_tls())
+            await client.bind()
+            found = ours({relay.xmpp.address}, {endpoint.address})
+            assert len(found) == 2 and all_send_at_once(found, {"accepted", "dialled"})
+            client.writer.close()
+
+    story(go())
+
+
+def test_every_link_between_stores_sends_small_writes_at_once() -> None:
+    async def go() -> None:
+        one, other = Store("a"), Store("b")
+        first = replica(one)
+        second = replica(other, first.address)
+        await until(lambda: first.links and second.links)
+        found = ours({first.address}, {first.address})
+        assert len(found) == 2 and all_send_at_once(found, {"accepted", "dialled"})
+        await second.stop()
+        await first.stop()
+
+    story(go())
+
+
+def test_one_that_is_turned_away_at_the_door_is_sent_its_answer_at_once(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    options: list[int] = []
+    close_at_once = listener.close_at_once
+
+    def looks(sock: socket.socket, text: bytes) -> None:
+        options.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+        close_at_once(sock, text)
+
+    monkeypatch.setattr(listener, "close_at_once", looks)
+
+    async def go() -> None:
+        async with relaying(tmp_path, up) as (relay, _):
+            relay.admission.limits = Limits(sockets=96, memory_mb=1.0)
+            held: list[Streams] = [await ask(relay.listener.address, first_line()) for _ in range(17)]
+            words = [await reader.readline() for reader, _ in held]
+            assert words[-1] == b"BUSY 500\r\n" and options and all(options)
+            for _, writer in held:
+                writer.close()
+
+    story(go())
+
+
+# ---------------------------------------------------------------- closes over bytes that lie unread
+
+
+@pytest.fixture
+def pair() -> Iterator[tuple[socket.socket, socket.socket]]:
+    """Both ends of one TCP connection; the first is the relay's."""
+    with socket.create_server(("127.0.0.1", 0)) as door:
+        client = socket.create_connection(door.getsockname())
+        relays, _ = door.accept()
+    relays.setblocking(False)
+    yield relays, client
+    relays.close()
+    client.close()
+
+
+def test_a_polite_close_that_is_cut_off_closes_over_nothing_unread(
+    pair: tuple[socket.socket, socket.socket],
+) -> None:
+    # Bytes that came in the moment in which it was cut off made the kernel send a reset.
+    relays, client = pair
+
+    async def go() -> None:
+        relays.send(b"ERR why\r\n")
+        closing = asyncio.ensure_future(close_politely(relays))
+        await asyncio.sleep(0)
+        client.sendall(b"M 1\r\n")  # the loop does not turn between its coming and the end
+        closing.cancel()
+        await asyncio.wait((closing,))
+
+    story(go())
+    poll = select.poll()
+    poll.register(client, select.POLLIN)
+    ((_, mask),) = poll.poll(0)
+    assert relays.fileno() < 0 and not mask & (select.POLLERR | select.POLLHUP)  # as after a reset
+    assert client.recv(99) == b"ERR why\r\n" and client.recv(99) == b""
+
+
+def test_an_xmpp_client_evicted_as_it_speaks_hears_its_answer_and_no_reset(tmp_path: Path) -> None:
+    # Its connection was closed over what lay unread: the reset could destroy the answer on its way.
+    async def go() -> None:
+        async with relaying_xmpp(tmp_path, echo) as (relay, _):
+            client = await Client.connect(relay.xmpp.address)
+            client.say("<?xml version='1.0'?>")
+            await until(lambda: relay.admission.unasked)
+            await asyncio.sleep(0.01)
+            relay.admission.evict_all()
+            client.say(HEADER.format("to").removeprefix("<?xml version='1.0'?>") + " " * 2000)
+            heard = await client.rest()
+            assert "<resource-constraint " in heard and not heard.endswith("[reset]")
+            client.writer.close()
+
+    story(go())
+
+
+# ---------------------------------------------------------------- descriptors
+
+
+class Instead:
+    """A module some of whose names are others here."""
+
+    def __init__(self, module: ModuleType, **names: Any) -> None:
+        self._module = module
+        vars(self).update(names)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._module, name)
+
+
+@pytest.fixture
+def short(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[int]]:
+    """A table of descriptors with ``[0]`` of them left, as the relay's dialling and its reserve see it."""
+    left = [0]
+    files: set[int] = set()
+
+    def take() -> None:
+        if not left[0]:
+            raise OSError(errno.EMFILE, "Too many open files")
+        left[0] -= 1
+
+    def new_socket(*args: Any) -> socket.socket:
+        take()
+        return socket.socket(*args)
+
+    def open_file(*args: Any) -> int:
+        take()
+        files.add(number := os.open(*args))
+        return number
+
+    def close_file(number: int) -> None:
+        files.remove(number)
+        left[0] += 1
+        os.close(number)
+
+    monkeypatch.setattr("sageturn.net.sockets.socket", Instead(socket, socket=new_socket))
+    monkeypatch.setattr("sageturn.net.sockets.os", Instead(os, open=open_file, close=close_file))
+    yield left
+    RESERVE.hold(0)
+
+
+def test_the_reserve_is_for_what_must_not_wait_and_is_made_good_before_any_client(short: list[int]) -> None:
+    async def go() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as door:
+            address = door.getsockname()
+            short[0] = 2
+            RESERVE.hold(2)
+            assert short[0] == 0 and await connect_unreserved(address, 1.0) is Connect.NO_DESCRIPTOR
+            watch = await connect(address, 1.0)
+            assert isinstance(watch, socket.socket)
+            short[0] += 1  # one that is let go of is not a client's while the reserve is not whole
+            assert await connect_unreserved(address, 1.0) is Connect.NO_DESCRIPTOR
+            assert short[0] == 0
+            again = await connect(address, 1.0)
+            assert isinstance(again, socket.socket)
+            short[0] += 2
+            client = await connect_unreserved(address, 1.0)
+            assert isinstance(client, socket.socket)
+            for each in (watch, again, client):
+                each.close()
+
+    story(go())
+
+
+def test_a_reserve_that_cannot_be_filled_gives_up_nothing(short: list[int]) -> None:
+    reserve = Reserve()
+    reserve.hold(3)
+    assert not reserve.give_up() and not reserve.refill()
+    with reserve.lent():
+        short[0] += 1
+    assert short[0] == 0 and reserve.give_up() and not reserve.give_up()
+
+
+@pytest.mark.parametrize("said", [first_line(), b""])
+def test_with_no_descriptor_left_those_in_the_backlog_are_answered_as_the_door_is_shut(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, said: bytes
+) -> None:
+    # They were left there, and reset with the door.
+    async def go() -> None:
+        async with relaying(tmp_path, silent) as (relay, _):
+            relay.lives._times = StopTimes(0.0, 0.0, 0.05, 2.0)
+            shut, came = relay.shut, list[socket.socket]()
+            monkeypatch.setattr(relay.listener, "_take", lambda most: True)
+
+            def comes_and_shut() -> None:
+                for _ in range(3):
+                    came.append(socket.create_connection(relay.listener.address))
+                    came[-1].sendall(said)
+                shut()
+
+            monkeypatch.setattr(relay, "shut", comes_and_shut)
+            await relay.lives.drain(relay)
+            for client in came:
+                client.settimeout(5)
+                assert client.recv(99) == b"BUSY 500\r\n" and client.recv(99) == b""
+                client.close()
+
+    story(go())
