Show that idle clients on all descriptors cost the relay no news of its list

A real relay with 56 descriptors, all taken by standing and silent clients while discovery refuses; as it returns the watch has to ask and its news to place a client within 6 s, every silent one is answered, and all who stand hear MOVE at the end.

--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,115 @@
+"""A real relay whose descriptors idle clients fill while discovery is down."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+from net_peers import (
+    SETTINGS,
+    Discovery,
+    Endpoint,
+    Streams,
+    ask,
+    chunked,
+    first_line,
+    listed,
+    reply,
+    served,
+    up,
+    write_config,
+)
+from test_program import Address, free_port
+
+DESCRIPTORS = 56
+SILENT = 60
+TOLD_S = 6.0  # after which discovery's news counts as told
+BOUND = (
+    "import resource, sys; resource.setrlimit(resource.RLIMIT_NOFILE, ({0}, {0}));"
+    "from sageturn.__main__ import main; sys.argv = ['sageturn']; sys.exit(main())"
+)
+
+
+async def ready(address: Address) -> None:
+    while True:
+        try:
+            assert await reply(address, b"PING\r\n") == b"PONG\r\n"
+            return
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.02)
+
+
+async def heard(streams: Streams) -> bytes:
+    """All that a client is told; a reset shows as one."""
+    reader, writer = streams
+    try:
+        return await asyncio.wait_for(reader.read(), 8)
+    except ConnectionResetError:
+        return b"reset"
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("lists", ["push", "ask"])
+def test_idle_clients_that_fill_the_descriptors_cost_the_relay_no_news(tmp_path: Path, lists: str) -> None:
+    # They stood or rested on every descriptor that there was, and the watch got none as discovery returned.
+    async def go() -> None:
+        async with AsyncExitStack() as stack:
+            old, new = Endpoint(up), Endpoint(up)
+            await stack.enter_async_context(served(old))
+            await stack.enter_async_context(served(new))
+            down = socket.socket()  # claimed, and refusing: nobody listens yet
+            down.bind(("127.0.0.1", 0))
+            address = ("127.0.0.1", free_port())
+            file = write_config(
+                tmp_path, down.getsockname(), listed({"a": old.address}), listen="{}:{}".format(*address),
+                limits={"sockets": DESCRIPTORS}, settings={**SETTINGS, "discovery": lists},
+            )  # fmt: skip
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", BOUND.format(DESCRIPTORS),
+                env={**os.environ, "GW_CONFIG": str(file)}, stderr=asyncio.subprocess.DEVNULL,
+            )  # fmt: skip
+            stack.callback(lambda: process.returncode is None and process.kill())
+            await ready(address)
+
+            standing: list[Streams] = []
+            refused = 0
+            while refused < 3:
+                streams = await ask(address, first_line(3000))
+                word = await asyncio.wait_for(streams[0].readline(), 5)
+                assert word.startswith((b"UP", b"BUSY")), word
+                refused += word.startswith(b"BUSY")
+                standing += [streams] if word.startswith(b"UP") else []
+            silent = [await ask(address, b"") for _ in range(SILENT)]
+            assert len(os.listdir(f"/proc/{process.pid}/fd")) >= DESCRIPTORS - 4 and len(standing) >= 10
+
+            down.listen()
+            discovery = Discovery(
+                chunked({**listed({"b": new.address}, 2), "servers": [
+                    {"id": "a", "addr": "{}:{}".format(*old.address), "state": "draining"},
+                    {"id": "b", "addr": "{}:{}".format(*new.address), "state": "ready"},
+                ]})
+            )  # fmt: skip
+            server = await asyncio.start_server(discovery.serve, sock=down)
+            stack.callback(server.close)
+            async with asyncio.timeout(TOLD_S):
+                while not discovery.asked:
+                    await asyncio.sleep(0.01)
+                standing.pop()[1].close()  # leaves room for one, which is to be placed by the news
+                while not any(new.lines):
+                    assert (await reply(address, first_line(3000))).startswith((b"UP", b"BUSY"))
+            assert process.returncode is None
+
+            words = [await heard(each) for each in silent]
+            assert all(word.startswith((b"BUSY", b"ERR")) for word in words), words
+            process.send_signal(signal.SIGTERM)
+            last = await asyncio.gather(*(heard(each) for each in standing))
+            assert set(last) == {b"MOVE\r\n"} and await process.wait() == 0
+
+    asyncio.run(asyncio.wait_for(go(), 60))
