Force a request in the moment in which its resting connection is ended

Out of time, evicted or without a line, just before our shutdown and just after it: one answer, no reset, nothing placed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from pathlib import Path
@@ -272,3 +273,60 @@
             await until(lambda: nothing_left(relay))
 
     story(go())
+
+
+# ---------------------------------------------------------------- a request on a resting connection
+
+
+@pytest.mark.parametrize("shut", [False, True], ids=["just before the shutdown", "just after it"])
+@pytest.mark.parametrize("ended", ["out of time", "evicted", "no line"])
+def test_a_request_that_comes_as_its_resting_connection_is_ended_is_answered_once_and_not_sent_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ended: str, shut: bool
+) -> None:
+    # What is read behind a shutdown and sent on is lost, and a close over it would reset the answer's way.
+    monkeypatch.setattr(platform, "FIRST_LINE_S", 0.1 if ended == "out of time" else 5.0)
+    politely, at_once = platform.close_politely, platform.close_at_once
+
+    async def go() -> None:
+        async with relaying(tmp_path, up) as (relay, (endpoint,)):
+            relay.module.placements = []
+
+            def line_comes(sock: socket.socket) -> None:
+                if shut:
+                    sock.shutdown(socket.SHUT_WR)
+                client.sendall(first_line())
+
+            async def ends_politely(sock: socket.socket) -> None:
+                line_comes(sock)
+                await politely(sock)
+
+            def ends_at_once(sock: socket.socket, text: bytes) -> None:
+                if shut:  # what it says last goes before its shutdown
+                    sock.send(text)
+                line_comes(sock)
+                at_once(sock, b"" if shut else text)
+
+            monkeypatch.setattr(platform, "close_politely", ends_politely)
+            monkeypatch.setattr(platform, "close_at_once", ends_at_once)
+            client = socket.create_connection(relay.listener.address)
+            client.settimeout(5)
+            if ended == "no line":
+                client.sendall(b"GET / HTTP/1.1\r\n")
+            elif ended == "evicted":
+                await until(lambda: relay.admission.unasked)
+                await asyncio.sleep(0)
+                relay.admission.evict_all()
+            heard = await asyncio.to_thread(client.recv, 99)
+            assert heard == {
+                "out of time": b"ERR no first line in time\r\n", "evicted": b"BUSY 500\r\n",
+                "no line": b"ERR not an OPEN line\r\n",
+            }[ended]  # fmt: skip
+            assert await asyncio.to_thread(client.recv, 99) == b""
+            poll = select.poll()
+            poll.register(client, select.POLLIN)
+            assert not any(mask & (select.POLLERR | select.POLLHUP) for _, mask in poll.poll(0))  # no reset
+            client.close()
+            await until(lambda: not relay.admission.held)
+            assert relay.module.placements == [] and not endpoint.lines
+
+    story(go())
