--- a/tests/measure_departures.py
+++ b/tests/measure_departures.py
@@ -5,8 +5,8 @@
 The relay shares one core with a program that never waits. Hundreds of clients ask at once; every host refuses
 after 5 to 50 ms, so that further attempts are due, until all clients leave within a few milliseconds. What is
 told is the longest time from a client's departure to the last byte of an attempt of its own, by the kernel's
-note of it; that from the last departure to the last connection that any host was given, by a thread's own
-(0: none came after it); and how late this program's loop was.
+note of it; that from the last departure to the last connection that the relay began, as it notes it itself
+(0: none was begun after it); and how late this program's own loop was.
 """
 
 from __future__ import annotations
@@ -20,7 +20,6 @@
 import subprocess
 import sys
 import tempfile
-import threading
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
@@ -38,6 +37,24 @@
 SETTLE_S = 1.5  # after a departure, for whatever may still come
 
 
+# The program itself, which notes when it is about to begin a connection for a client.
+NOTING = """
+import os, struct, sys, time
+from sageturn.__main__ import main
+from sageturn.fronts import platform
+from sageturn.fronts.xmpp import front
+file = os.open(sys.argv.pop(1), os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+def noting(connect):
+    async def noted(address, timeout_s):
+        os.write(file, struct.pack("d", time.time()))
+        return await connect(address, timeout_s)
+    return noted
+for each in (platform, front):
+    each.connect = noting(each.connect)
+sys.exit(main())
+"""
+
+
 class Stamped:
     """One end of a connection. The kernel notes when each byte came, however late this program reads it."""
 
@@ -73,38 +90,28 @@
 
 
 class Host:
-    """Notes when each connection and each attempt came, and refuses a little later."""
+    """Notes when each attempt came, and refuses a little later."""
 
     def __init__(self) -> None:
         self.address = ("127.0.0.1", 0)
-        self.accepted: list[float] = []
         self.began: list[tuple[bytes, float]] = []  # who, and when
         self._tasks: set[asyncio.Future[None]] = set()
 
     @asynccontextmanager
     async def open(self) -> AsyncIterator[None]:
-        """A thread of its own accepts: the loop, which has all clients to see to, would note it late."""
         loop = asyncio.get_running_loop()
         with socket.create_server(("127.0.0.1", 0), backlog=1024) as door:
             self.address = door.getsockname()
+            door.setblocking(False)
 
-            def take(sock: socket.socket) -> None:
-                task = asyncio.ensure_future(self._serve(Stamped(sock)))
+            def accept() -> None:
+                task = asyncio.ensure_future(self._serve(Stamped(door.accept()[0])))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
-            def accept() -> None:
-                with suppress(OSError, RuntimeError):  # the door is shut, or the loop closed
-                    while True:
-                        sock, _ = door.accept()
-                        self.accepted.append(time.time())
-                        loop.call_soon_threadsafe(take, sock)
-
-            accepting = threading.Thread(target=accept, daemon=True)
-            accepting.start()
+            loop.add_reader(door, accept)
             yield
-            door.shutdown(socket.SHUT_RDWR)
-            accepting.join()
+            loop.remove_reader(door)
 
     async def _serve(self, wire: Stamped) -> None:
         try:
@@ -188,10 +195,9 @@
 
 
 async def one_round(
-    hosts: list[Host], come: Come, clients: int, first: int
+    hosts: list[Host], come: Come, clients: int, first: int, begun: Path
 ) -> tuple[float, float, float, int]:
     for host in hosts:
-        host.accepted.clear()
         host.began.clear()
     # All are there, and none has had all of its attempts, as the first of them leaves.
     came = await asyncio.gather(*(come(first + k) for k in range(clients)))
@@ -200,7 +206,8 @@
     lag = await own_lag(SETTLE_S)
     began = [(name, at) for host in hosts for name, at in host.began]
     after = max((at - left[name] for name, at in began if name in left), default=0.0)
-    connected = max((at for host in hosts for at in host.accepted), default=0.0) - max(left.values())
+    times = begun.read_bytes()
+    connected = max((at for (at,) in struct.iter_unpack("d", times)), default=0.0) - max(left.values())
     return max(0.0, after), max(0.0, connected), lag, len(began)
 
 
@@ -221,8 +228,9 @@
         )  # fmt: skip
         operator = write_operator(folder, False, listen="{}:{}".format(*streams), negotiate_s=60.0)
         more = ("--operator", str(operator))
+        begun = folder / "begun"
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageturn", *(more if front == "xmpp" else ()),
+            sys.executable, "-c", NOTING, str(begun), *(more if front == "xmpp" else ()),
             env={**os.environ, "GW_CONFIG": str(file), "SAGETURN_LOG": "ERROR"},
         )  # fmt: skip
         other = subprocess.Popen([sys.executable, "-c", "while True: pass"])
@@ -237,7 +245,7 @@
             if front == "xmpp":
                 while len(waiting) < clients:  # few at a time: their passwords cost the core much
                     waiting += await asyncio.gather(*(logged_in(streams) for _ in range(6)))
-            results.append(await one_round(hosts, come, clients, number * clients))
+            results.append(await one_round(hosts, come, clients, number * clients, begun))
     *times, attempts = zip(*results, strict=True)
     longest = " | ".join(f"{1000 * max(each):.1f}" for each in times)
     print(f"| {front} | {rounds} x {clients} | {sum(attempts)} | {longest} |", flush=True)
@@ -247,7 +255,6 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=10)
     rounds = parser.parse_args().rounds
-    sys.setswitchinterval(0.0005)
     print("| front | clients | attempts | last byte, ms | last connection, ms | own lag, ms |")
     print("| --- | --- | --- | --- | --- | --- |")
     for front, clients in (("lines", 300), ("xmpp", 60)):
