--- a/sageturn/interface.py
+++ b/sageturn/interface.py
@@ -68,6 +68,7 @@
     classes: tuple[RequestClass, ...]
     tenants: tuple[Tenant, ...] = ()
     balancers: int = 1
+    index: int | None = None  # our number among them, from 0; None where it is not told
     zone: str = ""
     discovery: str = "push"
     max_attempts: int = 3
@@ -94,6 +95,7 @@
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one is needed")
         _need(self.balancers >= 1, "balancers", "must be 1 or more")
+        _need(self.index is None or self.index >= 0, "index", "must not be negative")
         _need(self.discovery in DISCOVERY, "discovery", "must be one of " + ", ".join(DISCOVERY))
         _need(self.weights in WEIGHTS, "weights", "must be one of " + ", ".join(WEIGHTS))
         _need(self.reports in REPORTS, "reports", "must be one of " + ", ".join(REPORTS))
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -17,8 +17,9 @@
     Probed, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
 from sageturn.probing import LOOK_MS, Probes
+from sageturn.ramp import ColdStart, Ramp
 from sageturn.shares import (
-    CallPace, KindSpeeds, Place, SetUpWindow, cold_pace, count_trust, quota_bounds, warm_part,
+    CallPace, KindSpeeds, Place, SetUpWindow, count_trust, quota_bounds, warm_part,
 )  # fmt: skip
 
 LIMIT_START = 8  # pending connections a server is trusted with before it has shown anything
@@ -83,8 +84,7 @@
         self.ready = False  # listed ready and not put out
         self.fails = 0
         self.out_until_ms = 0.0  # above 0: put out; back then, and out again at its next failure
-        self.cold = False
-        self.credit = self.credit_ms = 0.0  # sends that a cold server's budget has left us, and as of when
+        self.cold: ColdStart | None = None  # our turns at it while it warms up
         self.sheds, self.shed_ms = 0, 0.0  # resets in a row of connections that stood
         self.spent_until_ms = self.soft_until_ms = 0.0  # till then beyond what it can do; fuller than others
         self.late_until_ms = self.weigh_ms = 0.0
@@ -97,6 +97,7 @@
         self.room_ms = self.chance = 0.0
         # Own connections it can hold by the quotas, and what rounds them: each balancer's part is a fraction.
         self.most, self.odd = float("inf"), odd
+        self.sharers: float = 1.0  # balancers that may hold one there by these parts
         self.groups: dict[str, int] = {}  # own connections by group
         self.closed = False  # late or out of room: counts as full
         self.in_pending = self.in_limit = self.in_blind = self.in_open = 0  # its part of the sums
@@ -135,7 +136,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.rng = Random(seed)
-        self.size, self.usual = 1.0, 0.0  # of all ready servers; the log of set-up times lately
+        self.size, self.nominal, self.usual = 1.0, 1.0, 0.0  # of all ready servers, mean by the list; the log of set-up times lately
         self.told = [0.0, 0.0]  # sum and count of the loads told
         self.speeds = KindSpeeds()
         self.sized = settings.weights in ("nominal", "rough")
@@ -152,7 +153,13 @@
         self.near: list[_Server] = []  # the ready ones of our zone, where crossings are priced
         self.out: list[_Server] = []
         self.requests: dict[int, _Request] = {}
-        self.most, self.odd = float("inf"), self.rng.random()
+        fair = sum(t.allowance_per_s for t in settings.tenants) or UNKNOWN_PER_S
+        self.ramp = Ramp(
+            settings.fall_multiple, settings.fall_ms, settings.warm_within_ms, settings.cold_from,
+            settings.balancers, settings.index, 1000.0 * settings.balancers / fair, self.rng,
+        )  # fmt: skip
+        self.most, self.odd, self.warm_full = float("inf"), self.ramp.rounding(0), False
+        self.warm_part = 1.0  # of all ready servers' sizes: what is warm
         self.open = 0  # own connections, pending ones too
         self.sharers: float = settings.balancers  # balancers that share what one server can hold
         self.first_listed = 0  # the fleet that the quotas are for: those that drain have successors in it
@@ -281,7 +288,8 @@
 
     def _gate(self, now_ms: float) -> float:
         """0 when another set-up may start, else after how long to come again."""
-        full = self.open + 1 > self.most + self.odd
+        # Those on servers that drain don't count: their successors have room for them.
+        full = self.sum_open + 1 > self.most + self.odd
         return QUOTA_WAIT_MS if full else self.window.wait_ms(now_ms)
 
     # ------------------------------------------------------------ 2 curve, 3 buckets
@@ -427,7 +435,7 @@
             return False
         if s.cold and not self._cold_ok(now_ms, s):
             return False
-        if s.beyond():
+        if s.beyond() or (self.warm_full and not s.cold):
             return False
         if r.ran_ms < 0 or r.cls.effect == "safe":
             return True
@@ -445,6 +453,9 @@
             self._end(r, 0.0)
             return
         wait_ms = 0.0 if r.midflow else self._gate(now_ms)
+        # What is meant for cold servers is not for the others, or these would hold all that the fleet can.
+        cold_open = sum(s.open for s in self.ready if s.cold)
+        self.warm_full = self.sum_open - cold_open + 1 > self.most * self.warm_part + self.odd
         s = None if wait_ms else self._pick(now_ms, r)
         if s is None:
             self._end(r, wait_ms or RETRY_LEAST_MS)
@@ -461,7 +472,7 @@
         if s.open >= s.room - s.chance:
             self._review(now_ms, s)
         if s.cold:
-            s.credit -= 1.0
+            self.ramp.use(s.cold)
         self.actions.append(Send(r.id, s.name, timeout_ms))
 
     def _end(self, r: _Request, retry_after_ms: float) -> None:
@@ -673,10 +684,12 @@
             if self.quota:
                 self.sharers = min(self.settings.balancers, max(1.0, self.quota / self.first_listed))
         self.zones.update((line.zone, None) for line in e.servers)
+        fresh: list[_Server] = []
         for line in e.servers:
             known = self.servers.get(line.name)
             if known is None:
-                known = self.servers[line.name] = _Server(line, self.rng.random())
+                odd = self.ramp.rounding(crc32(line.name.encode()))
+                known = self.servers[line.name] = _Server(line, odd)
                 if e.kind == "stale":
                     known.fresh = now_ms - line.started_at_ms < self.settings.warm_within_ms
             elif line.state != "gone":
@@ -687,12 +700,14 @@
                 # Same name, new process: what was learned of the old one no longer counts.
                 known.started_ms, known.fresh, known.fails = line.started_at_ms, True, 0
                 known.room, known.late_until_ms, known.took, known.sheds = float("inf"), 0.0, 0.0, 0
-                known.out_until_ms = 0.0
+                known.out_until_ms, known.cold = 0.0, None
             warm_ms = line.started_at_ms + self.settings.warm_within_ms
             if line.started_at_ms and now_ms < warm_ms and not known.cold:
-                # A random start: else the first sends of many balancers would come all at once.
-                known.cold, known.credit, known.credit_ms = True, self.rng.random(), now_ms
+                fresh.append(known)
         self._relist()
+        for s in fresh:
+            age_ms = now_ms - s.started_ms
+            s.cold = self.ramp.started(age_ms, s.odd, self._held_warm(s), s.sharers)
 
     def _relist(self) -> None:
         """Rebuild the ready list and its sums; only list and health changes come here."""
@@ -724,6 +739,10 @@
             s.part = s.size / self.size
         for s in self.near:
             s.part = s.size / max(here, self.size * ours)
+        self.nominal = sum(s.share for s in self.ready) / max(1, len(self.ready))
+        self.warm_part = sum(s.size for s in self.ready if not s.cold) / self.size
+        for s in self.ready:
+            s.sharers = self.settings.balancers
         if self._sees_delay():
             for s in self.ready:
                 s.most = float("inf")
@@ -732,8 +751,8 @@
             places = [Place(s.zone, s.size, s.share) for s in self.ready]
             each, count = self.quota / self.first_listed, self.settings.balancers
             self.most, bounds = quota_bounds(places, self.zones, self.own_zone, each, count)
-            for s, most in zip(self.ready, bounds, strict=True):
-                s.most = most
+            for s, bound in zip(self.ready, bounds, strict=True):
+                s.most, s.sharers = bound.most, bound.sharers
 
     def _on_timer(self, now_ms: float, e: Timer) -> None:
         if e.mark == "watch" and not self.watching:
@@ -774,16 +793,17 @@
         age_ms = now_ms - s.started_ms if s.started_ms else float("inf")
         return warm_part(age_ms, self.settings.warm_within_ms, self.settings.cold_from)
 
+    def _held_warm(self, s: _Server) -> float:
+        """Connections that it holds once it is warm, by the quotas or what we hold."""
+        if not self.quota:
+            listed = max(1, len(self.ready) + len(self.out))
+            return self.open * self.settings.balancers / listed
+        return self.quota / self.first_listed * s.share / (self.nominal or s.share)
+
     def _cold_ok(self, now_ms: float, s: _Server) -> bool:
-        """Credits for sends come at a pace at which all balancers stay inside a cold server's budget."""
-        st = self.settings
-        if now_ms >= s.started_ms + st.warm_within_ms:
-            s.cold = False
+        """Whether it is our turn to send it one: all balancers together stay inside a cold server's budget."""
+        age_ms = now_ms - s.started_ms
+        if not s.cold or age_ms >= self.settings.warm_within_ms:
+            s.cold = None
             return True
-        # A full server's connections, by the quotas or what we hold; a cold one fills over its warm-up.
-        listed = max(1, len(self.ready) + len(self.out))
-        size = self.quota / self.first_listed if self.quota else self.open * st.balancers / listed
-        pace = cold_pace(st.fall_multiple, st.balancers) * self._warm(now_ms, s) * max(1.0, size)
-        s.credit = min(1.0, s.credit + pace / st.warm_within_ms * (now_ms - s.credit_ms))
-        s.credit_ms = now_ms
-        return s.credit >= 1.0
+        return self.ramp.due(s.cold, age_ms, self._held_warm(s), s.sharers)
--- a/sageturn/settings.py
+++ b/sageturn/settings.py
@@ -52,6 +52,7 @@
         classes=classes,
         tenants=tenants,
         balancers=top.whole("groupSize", 1, least=1),
+        index=top.whole("me", 0, least=0) if top.has("me") else None,
         zone=text(conf.get("zone")),
         discovery=top.one_of("discovery", api.DISCOVERY, "push"),
         max_attempts=limits.whole("sendCap", least=1, most=ATTEMPTS_MOST),
--- a/sageturn/shares.py
+++ b/sageturn/shares.py
@@ -63,9 +63,20 @@
     nominal: float
 
 
+@dataclass(slots=True)
+class Bound:
+    """Connections that one relay may hold at a server, not rounded.
+
+    ``sharers``: relays that may hold one there at all, once each has rounded its own.
+    """
+
+    most: float
+    sharers: float
+
+
 def quota_bounds(
     places: Iterable[Place], zones: Iterable[str], own_zone: str | None, per_server: float, relays: int
-) -> tuple[float, list[float]]:
+) -> tuple[float, list[Bound]]:
     """Connections that one relay may hold in all, and at each place. None is rounded.
 
     ``zones``: all from which clients come. ``per_server``: what the quotas stand for at a mean server. A
@@ -80,18 +91,21 @@
     nominal = sum(p.nominal for p in places) / max(1, len(places)) or 1.0
     even, full, few = total / max(1, len(sums)), per_server / relays, QUOTA_FEW / relays**2
     whole = QUOTA_PART * full * total / nominal
-    here = sums.get(own_zone or "", 0.0)
-    lacking = max(0.0, 1.0 - here / even)
+    lacking = {zone: max(0.0, 1.0 - here / even) for zone, here in sums.items()}
     beyond = sum(max(0.0, s - even) for s in sums.values()) or 1.0
+    loose, each_zone = few * full + QUOTA_LOOSE / relays, relays / max(1, len(sums))
     bounds = []
     for p in places:
         if own_zone is None:
-            part = p.size / total
-        elif p.zone == own_zone:
-            part = p.size / max(here, even)
-        else:
-            part = lacking * max(0.0, sums[p.zone] - even) / beyond * p.size / (sums[p.zone] or 1.0)
-        bounds.append(QUOTA_OVER * part * whole + few * full + QUOTA_LOOSE / relays)
+            most = QUOTA_OVER * p.size / total * whole + loose
+            bounds.append(Bound(most, relays * min(1.0, most)))
+            continue
+        here = sums[p.zone]
+        own = QUOTA_OVER * p.size / max(here, even) * whole + loose
+        spare = QUOTA_OVER * max(0.0, here - even) / beyond * p.size / (here or 1.0) * whole
+        most = own if p.zone == own_zone else lacking.get(own_zone, 1.0) * spare + loose
+        others = sum(min(1.0, lack * spare + loose) for zone, lack in lacking.items() if zone != p.zone)
+        bounds.append(Bound(most, each_zone * (min(1.0, own) + others)))
     return whole + few * full * len(places), bounds
 
 
@@ -124,16 +138,6 @@
         self.of[kind] = exp(mean - (both[1][0] + KIND_DOUBT * mean) / (both[1][1] + KIND_DOUBT))
 
 
-COLD_CARE = 0.8  # of the multiple of what fills a cold server over its warm-up, many balancers use this,
-COLD_EVEN = 4.8  # and few use more, by this over their number: theirs are evenly spaced, not piled by chance,
-COLD_MOST = 2.0  # up to this: servers were seen to take three to four times what so fills them
-
-
-def cold_pace(fall_multiple: float, relays: int) -> float:
-    """One relay's part of what all may send a cold server, in what fills a warm one over its warm-up."""
-    return min(COLD_MOST, COLD_CARE + COLD_EVEN / relays) * fall_multiple / relays
-
-
 def warm_part(age_ms: float, within_ms: float, cold_from: float) -> float:
     """Part of its size that a server can do so long after its start: it gets there evenly."""
     return 1.0 if age_ms >= within_ms else cold_from + (1.0 - cold_from) * max(0.0, age_ms) / within_ms
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -38,7 +38,7 @@
     held, total = [0.0] * len(places), 0.0
     for zone in zones:
         most, bounds = quota_bounds(places, zones, zone if priced else None, 50.0, relays)
-        held = [h + each_zone * b for h, b in zip(held, bounds, strict=True)]
+        held = [h + each_zone * b.most for h, b in zip(held, bounds, strict=True)]
         total += each_zone * most
     few = 50.0 * QUOTA_FEW / relays**2
     for place, h in zip(places, held, strict=True):
