--- a/sageturn/ramp.py
+++ b/sageturn/ramp.py
@@ -16,11 +16,15 @@
 from math import gcd, sqrt
 from random import Random
 
+from sageturn.interface import Settings
 from sageturn.shares import warm_part
 
-GOLDEN = 0.6180339887498949  # multiples of it, less their whole parts, are spread evenly however many there are
-# Calls by which a window's sum may miss: turns are whole, and two estimates of a server's size differ a little.
+UNKNOWN_PER_S = 10.0  # requests at all relays, where the settings name no allowances
+
+GOLDEN = 0.6180339887498949  # multiples of it, less their whole parts, are spread evenly at any number
+# Calls by which a window's sum may miss: turns are whole, and estimates of a server's size differ a little.
 ROUNDED = 2.0
+STEP_MS = 500.0
 # Where relays don't know their numbers, chance decides whose turn it is: so many standard deviations of the
 # sum fit into the bound. One window in 740 is over it then.
 DEVIATIONS = 3.0
@@ -33,35 +37,31 @@
 
 @dataclass(slots=True)
 class ColdStart:
-    """One start of a server, as one relay counts it: turns so far, with their fraction, and the last used."""
+    """One start of a server, as one relay counts it. ``told_ms``: its age when the relay heard of it.
+
+    ``rounding``: what rounds the relay's part of what it can hold, from 0 to 1.
+    """
 
-    turns: float
-    age_ms: float
-    used: int = 0
+    told_ms: float
+    rounding: float
+    age_ms: float = -1.0  # as of which the turns are counted; below 0 before they are
+    turns: float = 0.0  # so far, with their fraction
+    used: int = 0  # of these, by a call or by waiting for too long
 
 
 class Ramp:
     """One relay's turns at servers that have just started, and its place among the relays."""
 
-    def __init__(
-        self,
-        multiple: float,
-        window_ms: float,
-        within_ms: float,
-        cold_from: float,
-        relays: int,
-        index: int | None,
-        gap_ms: float,
-        rng: Random,
-    ) -> None:
-        """The first four are the settings'. ``index``: the relay's number among all, None where not told.
-
-        ``gap_ms``: mean time between two requests at one relay.
-        """
-        self._multiple, self._window_ms = multiple, max(1.0, window_ms)
-        self._within_ms, self._cold_from = max(1.0, within_ms), cold_from
-        self._relays, self._index, self._rng = relays, index, rng
-        self._wait_ms = sqrt(gap_ms * self._window_ms)  # balances turns lost against fewer turns
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        """Without a number among the relays (``settings.index``), chance stands in for it."""
+        self._multiple, self._window_ms = settings.fall_multiple, max(1.0, settings.fall_ms)
+        self._within_ms, self._cold_from = max(1.0, settings.warm_within_ms), settings.cold_from
+        self._relays, self._index, self._rng = settings.balancers, settings.index, rng
+        per_s = sum(t.allowance_per_s for t in settings.tenants) or UNKNOWN_PER_S
+        gap_ms = 1000.0 * settings.balancers / per_s  # between two requests at one relay
+        # For a turn not to be lost it should wait so long; the longer it waits, the fewer there can be.
+        self._wait_ms = sqrt(gap_ms * self._window_ms)
+        relays = self._relays
         # Far from one relay to the next, so that any few of them, and those of one zone, are spread as well.
         self._stride = max(1, round(relays * GOLDEN))
         while gcd(self._stride, relays) > 1:
@@ -77,14 +77,6 @@
             return self._rng.random()
         return ((self._index * self._stride + mark) % self._relays + 0.5) / self._relays
 
-    def started(self, age_ms: float, rounding: float, size: float, sharers: float) -> ColdStart:
-        """A server was listed ``age_ms`` after its start. ``sharers``: see ``due``."""
-        # Those that round up first, and so may place one first, are spread over a turn's time as well.
-        phase = (1.0 - rounding) * self._relays * GOLDEN % 1.0 if self._index is not None else rounding
-        pace, wait_ms = self._pace(age_ms, size, sharers)
-        turns = phase + max(0.0, age_ms) * pace
-        return ColdStart(turns, age_ms, int(max(0.0, turns - wait_ms * pace)))
-
     def _pace(self, age_ms: float, size: float, sharers: float) -> tuple[float, float]:
         """Turns a millisecond of one relay at that age, and how long one may wait."""
         part = warm_part(age_ms, self._within_ms, self._cold_from)
@@ -97,15 +89,28 @@
         wait_ms = min(self._wait_ms, max(0.25, calls / budget - 1.0) * self._window_ms)
         return calls / (self._window_ms + wait_ms) / max(1.0, sharers), wait_ms
 
+    def _count(self, start: ColdStart, age_ms: float, size: float, sharers: float) -> None:
+        """Turns up to that age, in small steps as the pace rises: who asks seldom counts like others."""
+        while start.age_ms < age_ms:
+            step_ms = min(STEP_MS, age_ms - start.age_ms)
+            start.turns += self._pace(start.age_ms + step_ms / 2.0, size, sharers)[0] * step_ms
+            start.age_ms += step_ms
+
     def due(self, start: ColdStart, age_ms: float, size: float, sharers: float) -> bool:
         """Whether a turn of ours is waiting. ``size``: connections that the server holds once it is warm.
 
         ``sharers``: relays among which the turns are shared. Where a server can hold fewer connections than
         there are relays, turns of those that may not place one there would be lost to all.
         """
+        if start.age_ms < 0.0:
+            # Those that round up first, and so may place one first, are spread over a turn's time as well.
+            by_number = (1.0 - start.rounding) * self._relays * GOLDEN % 1.0
+            start.turns = start.rounding if self._index is None else by_number
+            start.age_ms = 0.0
+            self._count(start, max(0.0, start.told_ms), size, sharers)
+            start.used = int(start.turns)  # what came before it was told may be used by one that was stopped
+        self._count(start, age_ms, size, sharers)
         pace, wait_ms = self._pace(age_ms, size, sharers)
-        start.turns += pace * max(0.0, age_ms - start.age_ms)
-        start.age_ms = age_ms
         start.used = max(start.used, int(start.turns - pace * wait_ms))
         return int(start.turns) > start.used
 
--- a/sageturn/rules.py
+++ b/sageturn/rules.py
@@ -17,9 +17,9 @@
     Probed, Refuse, Request, RequestClass, Send, Server, ServerList, SetTimer, Settings, Timer, Watch,
 )  # fmt: skip
 from sageturn.probing import LOOK_MS, Probes
-from sageturn.ramp import ColdStart, Ramp
+from sageturn.ramp import UNKNOWN_PER_S, ColdStart, Ramp
 from sageturn.shares import (
-    CallPace, KindSpeeds, Place, SetUpWindow, count_trust, quota_bounds, warm_part,
+    Bound, CallPace, KindSpeeds, Place, SetUpWindow, count_trust, quota_bounds, warm_part,
 )  # fmt: skip
 
 LIMIT_START = 8  # pending connections a server is trusted with before it has shown anything
@@ -28,7 +28,6 @@
 CURVE_STEPS = 64  # cells of the curve's table
 FREE_DEPTH = 0.25  # below this depth nobody is throttled
 CURVE_TOP = 4.0  # refill just past the free part, in fair shares of the tenants' allowances
-UNKNOWN_PER_S = 10.0  # stands for the allowances where the settings name none
 FULL_LOAD = 1e6  # added to a full server's load, so that it loses against any other
 DRAWS = 8  # draws at most to find a pair, as some servers may be ruled out
 BURST_S = 2.0  # a bucket holds what one fair share brings in this time
@@ -136,7 +135,8 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.rng = Random(seed)
-        self.size, self.nominal, self.usual = 1.0, 1.0, 0.0  # of all ready servers, mean by the list; the log of set-up times lately
+        self.size, self.share = 1.0, 1.0  # of all ready servers; the mean of theirs by the list
+        self.usual = 0.0  # the log of set-up times lately
         self.told = [0.0, 0.0]  # sum and count of the loads told
         self.speeds = KindSpeeds()
         self.sized = settings.weights in ("nominal", "rough")
@@ -153,13 +153,9 @@
         self.near: list[_Server] = []  # the ready ones of our zone, where crossings are priced
         self.out: list[_Server] = []
         self.requests: dict[int, _Request] = {}
-        fair = sum(t.allowance_per_s for t in settings.tenants) or UNKNOWN_PER_S
-        self.ramp = Ramp(
-            settings.fall_multiple, settings.fall_ms, settings.warm_within_ms, settings.cold_from,
-            settings.balancers, settings.index, 1000.0 * settings.balancers / fair, self.rng,
-        )  # fmt: skip
-        self.most, self.odd, self.warm_full = float("inf"), self.ramp.rounding(0), False
-        self.warm_part = 1.0  # of all ready servers' sizes: what is warm
+        self.ramp = Ramp(settings, self.rng)
+        self.most, self.odd = float("inf"), self.ramp.rounding(0)
+        self.warm_part, self.warm_full = 1.0, False  # of all sizes; used up: the rest is for cold servers
         self.open = 0  # own connections, pending ones too
         self.sharers: float = settings.balancers  # balancers that share what one server can hold
         self.first_listed = 0  # the fleet that the quotas are for: those that drain have successors in it
@@ -288,8 +284,7 @@
 
     def _gate(self, now_ms: float) -> float:
         """0 when another set-up may start, else after how long to come again."""
-        # Those on servers that drain don't count: their successors have room for them.
-        full = self.sum_open + 1 > self.most + self.odd
+        full = self.sum_open + 1 > self.most + self.odd  # those on servers that drain find room elsewhere
         return QUOTA_WAIT_MS if full else self.window.wait_ms(now_ms)
 
     # ------------------------------------------------------------ 2 curve, 3 buckets
@@ -454,8 +449,8 @@
             return
         wait_ms = 0.0 if r.midflow else self._gate(now_ms)
         # What is meant for cold servers is not for the others, or these would hold all that the fleet can.
-        cold_open = sum(s.open for s in self.ready if s.cold)
-        self.warm_full = self.sum_open - cold_open + 1 > self.most * self.warm_part + self.odd
+        warm_open = self.sum_open - sum(s.open for s in self.ready if s.cold)
+        self.warm_full = warm_open + 1 > self.most * self.warm_part + self.odd and not r.midflow
         s = None if wait_ms else self._pick(now_ms, r)
         if s is None:
             self._end(r, wait_ms or RETRY_LEAST_MS)
@@ -684,7 +679,6 @@
             if self.quota:
                 self.sharers = min(self.settings.balancers, max(1.0, self.quota / self.first_listed))
         self.zones.update((line.zone, None) for line in e.servers)
-        fresh: list[_Server] = []
         for line in e.servers:
             known = self.servers.get(line.name)
             if known is None:
@@ -703,11 +697,8 @@
                 known.out_until_ms, known.cold = 0.0, None
             warm_ms = line.started_at_ms + self.settings.warm_within_ms
             if line.started_at_ms and now_ms < warm_ms and not known.cold:
-                fresh.append(known)
+                known.cold = ColdStart(now_ms - line.started_at_ms, known.odd)
         self._relist()
-        for s in fresh:
-            age_ms = now_ms - s.started_ms
-            s.cold = self.ramp.started(age_ms, s.odd, self._held_warm(s), s.sharers)
 
     def _relist(self) -> None:
         """Rebuild the ready list and its sums; only list and health changes come here."""
@@ -729,8 +720,10 @@
 
     def _share_out(self) -> None:
         """Servers' parts of ours, by size; near ones are due what their zone's balancers bring, one down."""
+        within_ms, cold_from = self.settings.warm_within_ms, self.settings.cold_from
         for s in self.ready:
-            s.size = s.share * self.speeds.of.get(s.kind, 1.0) * self._warm(self.now_ms, s)
+            warm = warm_part(self.now_ms - s.started_ms, within_ms, cold_from) if s.started_ms else 1.0
+            s.size = s.share * self.speeds.of.get(s.kind, 1.0) * warm
         self.size = sum(s.size for s in self.ready) or 1.0
         here = sum(s.size for s in self.near)
         zones = len({s.zone for s in self.ready}) or 1
@@ -739,20 +732,15 @@
             s.part = s.size / self.size
         for s in self.near:
             s.part = s.size / max(here, self.size * ours)
-        self.nominal = sum(s.share for s in self.ready) / max(1, len(self.ready))
+        self.share = sum(s.share for s in self.ready) / max(1, len(self.ready))
         self.warm_part = sum(s.size for s in self.ready if not s.cold) / self.size
-        for s in self.ready:
-            s.sharers = self.settings.balancers
-        if self._sees_delay():
-            for s in self.ready:
-                s.most = float("inf")
-            self.most = float("inf")
-        elif self.quota and self.first_listed:
+        self.most, bounds = float("inf"), [Bound(float("inf"), self.settings.balancers)] * len(self.ready)
+        if self.quota and self.first_listed and not self._sees_delay():
             places = [Place(s.zone, s.size, s.share) for s in self.ready]
             each, count = self.quota / self.first_listed, self.settings.balancers
             self.most, bounds = quota_bounds(places, self.zones, self.own_zone, each, count)
-            for s, bound in zip(self.ready, bounds, strict=True):
-                s.most, s.sharers = bound.most, bound.sharers
+        for s, bound in zip(self.ready, bounds, strict=True):
+            s.most, s.sharers = bound.most, bound.sharers
 
     def _on_timer(self, now_ms: float, e: Timer) -> None:
         if e.mark == "watch" and not self.watching:
@@ -788,22 +776,13 @@
 
     # ------------------------------------------------------------ 8 cold starts
 
-    def _warm(self, now_ms: float, s: _Server) -> float:
-        """Part of its size that a server can do: one that has just started gets there evenly."""
-        age_ms = now_ms - s.started_ms if s.started_ms else float("inf")
-        return warm_part(age_ms, self.settings.warm_within_ms, self.settings.cold_from)
-
-    def _held_warm(self, s: _Server) -> float:
-        """Connections that it holds once it is warm, by the quotas or what we hold."""
-        if not self.quota:
-            listed = max(1, len(self.ready) + len(self.out))
-            return self.open * self.settings.balancers / listed
-        return self.quota / self.first_listed * s.share / (self.nominal or s.share)
-
     def _cold_ok(self, now_ms: float, s: _Server) -> bool:
-        """Whether it is our turn to send it one: all balancers together stay inside a cold server's budget."""
-        age_ms = now_ms - s.started_ms
-        if not s.cold or age_ms >= self.settings.warm_within_ms:
+        """Whether it is our turn to send it one: all balancers together stay inside its budget."""
+        st, age_ms = self.settings, now_ms - s.started_ms
+        if s.cold is None or age_ms >= st.warm_within_ms:
             s.cold = None
             return True
-        return self.ramp.due(s.cold, age_ms, self._held_warm(s), s.sharers)
+        # What it holds once it is warm, by the quotas or what we hold.
+        listed = max(1, len(self.ready) + len(self.out))
+        size = self.quota / self.first_listed if self.quota else self.open * st.balancers / listed
+        return self.ramp.due(s.cold, age_ms, size * s.share / (self.share or s.share), s.sharers)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,4 @@
-"""Servers that have just started, before many relays at once: what all send them, and what they get to hold."""
+"""Servers that have just started, before many relays: what all send them, and what they get to hold."""
 
 from __future__ import annotations
 
@@ -27,18 +27,23 @@
 CLASSES = (RequestClass("one", aim_ms=800.0, give_up_ms=3200.0),)
 
 
-def most_in_window(times: list[float], excess: Callable[[float, int], float]) -> float:
-    """Over all windows that end with a call, the most of ``excess(end, calls in the window)``."""
-    worst, first = float("-inf"), 0
+def windows_over(times: list[float], allowed: Callable[[float], float]) -> list[tuple[int, float]]:
+    """Calls and bound of each window that ends with a call and holds more than servers bear for sure.
+
+    ``times``: the server's ages at the calls. ``allowed``: N of a window, by its end.
+    """
+    over, first = [], 0
     for k, at in enumerate(times):
         while times[first] <= at - WINDOW_MS:
             first += 1
-        worst = max(worst, excess(at, k + 1 - first))
-    return worst
+        n = allowed(at)
+        if k + 1 - first > n + 2.0 * n**0.5 + 2.0:
+            over.append((k + 1 - first, n + 2.0 * n**0.5 + 2.0))
+    return over
 
 
 def allowed(age_ms: float, size: float) -> float:
-    """Calls in the window that ends at that age, by the settings."""
+    """N: calls in the window that ends at that age, by the settings; ``size``: connections of a warm one."""
 
     def sent(until_ms: float) -> float:
         until_ms = max(0.0, until_ms)
@@ -83,7 +88,7 @@
         }
         for relay in self.relays:
             relay.handle(0.0, ServerList("full", list(self.lines.values())))
-        self.held: dict[str, dict[int, Balancer]] = {}
+        self.held: dict[str, dict[int, tuple[Balancer, int]]] = {}  # by request: its relay and attempt
         self.sent: dict[str, list[float]] = {}
         for _ in range(clients):
             self.at(self.rng.random() * 8000.0, self.client)
@@ -104,29 +109,40 @@
         self.tries += 1
         request = self.ids
         relay = self.rng.choices(self.relays, self.traffic)[0]
-        action = relay.handle(self.now, Request(request, "one", "t", self.now + 3200.0))[0]
-        if isinstance(action, Refuse):
-            self.refused += 1
-            own_ms = (30.0, 30.0, 500.0, 1500.0)[min(tries, 3)]
-            wait_ms = action.retry_after_ms if self.rng.random() < 0.4 else own_ms
-            self.at(self.now + wait_ms, lambda: self.client(tries + 1))
-        elif isinstance(action, Send):
-            server, begun = action.server, self.now
-            self.sent.setdefault(server, []).append(self.now)
-            took = 30.0 + 60.0 * self.rng.random()
-
-            def stands() -> None:
-                relay.handle(self.now, FirstSign(request, 0, server, self.now - begun))
-                self.held.setdefault(server, {})[request] = relay
-
-            self.at(self.now + took, stands)
+        actions = relay.handle(self.now, Request(request, "one", "t", self.now + 3200.0))
+        self.act(relay, request, 0, actions, tries)
+
+    def act(self, relay: Balancer, request: int, attempt: int, actions: list[Any], tries: int) -> None:
+        for action in actions:
+            if isinstance(action, Refuse):
+                self.refused += 1
+                own_ms = (30.0, 30.0, 500.0, 1500.0)[min(tries, 3)]
+                wait_ms = action.retry_after_ms if self.rng.random() < 0.4 else own_ms
+                self.at(self.now + wait_ms, lambda: self.client(tries + 1))
+            elif isinstance(action, Send):
+                self.set_up(relay, request, attempt, action.server, tries)
+
+    def set_up(self, relay: Balancer, request: int, attempt: int, server: str, tries: int) -> None:
+        begun = self.now
+        self.sent.setdefault(server, []).append(self.now)
+
+        def stands() -> None:
+            relay.handle(self.now, FirstSign(request, attempt, server, self.now - begun))
+            self.held.setdefault(server, {})[request] = (relay, attempt)
+
+        def fails() -> None:  # what is sent next counts like the first
+            outcome = Outcome(request, attempt, server, "error", False)
+            self.act(relay, request, attempt + 1, relay.handle(self.now, outcome), tries)
+
+        took = 30.0 + 60.0 * self.rng.random()
+        self.at(self.now + took, fails if self.rng.random() < 0.05 else stands)
 
     def leave(self, server: str) -> None:
         """A draining host sends its clients away bit by bit."""
-        for request, relay in self.held.pop(server, {}).items():
+        for request, (relay, attempt) in self.held.pop(server, {}).items():
 
-            def gone(request: int = request, relay: Balancer = relay) -> None:
-                relay.handle(self.now, Outcome(request, 0, server, "cancelled", True))
+            def gone(request: int = request, relay: Balancer = relay, attempt: int = attempt) -> None:
+                relay.handle(self.now, Outcome(request, attempt, server, "cancelled", True))
                 self.at(self.now + 100.0 + 700.0 * self.rng.random(), self.client)
 
             self.at(self.now + 2000.0 * self.rng.random(), gone)
@@ -162,22 +178,86 @@
 def test_a_fleet_that_is_replaced_fills_its_new_hosts_and_floods_none(
     relays: int, hosts: int, zones: str
 ) -> None:
+    # Nine in ten relays could place nobody on a new host, as their parts of it came to no whole connection,
+    # and the tenth had to wait for its part of the cold budget like all: 36 hosts held 14 clients 10 s after
+    # the release began, and seven in ten tries were refused. Warm ones held up to 39 where 33 were meant.
     each = 40.0
     fleet = Release(relays, hosts, each, 1, zones=zones)
     starts = fleet.release()
-    fleet.refused = fleet.tries = 0
-    for k in range(20):
-        fleet.run(12_000.0 + 1000.0 * k)
-        old = sum(len(h) for n, h in fleet.held.items() if n not in starts)
-        new = sum(len(h) for n, h in fleet.held.items() if n in starts)
-        print(k, old, new, [len(h) for n, h in fleet.held.items() if n not in starts][-8:], fleet.refused, fleet.tries)
-        fleet.refused = fleet.tries = 0
-    worst = float("-inf")
+    fleet.run(22_000.0)
+    held = {name: len(fleet.held.get(name, {})) for name in (*starts, *fleet.lines)}
+    new = [held[name] for name in starts]
+    # By the quotas 14 could be held at each, so long after its start; a tenant's tries are spread unevenly.
+    assert sum(new) >= 4.0 * len(new) and sum(n > 0 for n in new) >= 0.9 * len(new)
+    left = [held[name] for name in list(fleet.lines)[len(new) :]]
+    assert max(left) <= 36
     for name, start in starts.items():
-        def over(at: float, calls: int, start: float = start) -> float:
-            n = allowed(at - start, each)
-            return (calls - n) / n**0.5
+        ages = [at - start for at in fleet.sent.get(name, [])]
+        assert not windows_over(ages, lambda age: allowed(age, each))
+
 
-        worst = max(worst, most_in_window(fleet.sent.get(name, []), over))
-    print("worst sigma", worst)
-    assert 0
+PATTERNS = ("steady", "bursts", "uneven", "late")
+
+
+def ages_of_calls(
+    relays: int, budget: float, pattern: str, seed: int, numbered: bool, differ: float
+) -> list[float]:
+    """The ages of a server at what all relays send it. ``budget``: N, once it is warm.
+
+    ``differ``: part by which relays' estimates of its size are off, up or down.
+    """
+    rng = Random(seed)
+    size, sent = budget * WITHIN_MS / MULTIPLE / WINDOW_MS, list[float]()
+    allowance = rng.choice((3.0, 20.0, 150.0))
+    for k in range(relays):
+        quota = size * (1.0 + differ * (2.0 * rng.random() - 1.0))
+        settings = Settings(
+            classes=CLASSES,
+            tenants=(Tenant("t", allowance, quota),),
+            balancers=relays,
+            index=k if numbered else None,
+            fall_multiple=MULTIPLE,
+            fall_ms=WINDOW_MS,
+            cold_from=COLD_FROM,
+            warm_within_ms=WITHIN_MS,
+        )
+        relay = Balancer(settings, seed * 1000 + k)
+        told = 800.0 + 1500.0 * rng.random() * (1.0 + 4.0 * (rng.random() < 0.1))
+        relay.handle(told, ServerList("full", [Server("new", started_at_ms=1e-9)]))
+        if pattern == "steady":
+            times = [told + 150.0 * j for j in range(int((WITHIN_MS - told) / 150.0))]
+        elif pattern == "bursts":  # at all relays at once, after quiet times
+            times = [at + j for at in range(5_000, 24_000, 4_500) for j in range(12)]
+        elif pattern == "late":
+            times = [8_000.0 + 150.0 * j for j in range(100)]
+        else:
+            pace = rng.lognormvariate(0.0, 1.2) / 1000.0
+            times = [told]
+            while times[-1] < WITHIN_MS:
+                times.append(times[-1] + rng.expovariate(pace))
+        for request, at in enumerate(times):
+            if told <= at < WITHIN_MS:
+                for action in relay.handle(at, Request(request, "one", "t", at + 3200.0)):
+                    if isinstance(action, Send):
+                        sent.append(at)
+                        relay.handle(at, FirstSign(request, 0, "new", 1.0))
+                        relay.handle(at, Outcome(request, 0, "new", "ok", True))
+    return sorted(sent)
+
+
+@pytest.mark.parametrize("pattern", PATTERNS)
+@pytest.mark.parametrize(("numbered", "differ"), [(True, 0.0), (True, 0.1), (False, 0.0)])
+def test_all_relays_together_stay_inside_a_cold_servers_budget(
+    pattern: str, numbered: bool, differ: float
+) -> None:
+    # Each of 200 relays had saved up part of a call when a burst came: 35 calls where 18 were borne.
+    size = WITHIN_MS / MULTIPLE / WINDOW_MS
+    rng = Random(PATTERNS.index(pattern))
+    drawn = [(200, 20.0), (30, 60.0), (4, 5.0), (1, 200.0)]
+    drawn += [(rng.randint(1, 200), 2.0 * 100.0 ** rng.random()) for _ in range(6)]
+    over = []
+    for seed, (relays, budget) in enumerate(drawn):
+        ages = ages_of_calls(relays, budget, pattern, seed, numbered, differ)
+        found = windows_over(ages, lambda age: allowed(age, size * budget))  # noqa: B023
+        over += [(relays, budget, *window) for window in found]
+    assert not over
