--- a/sageturn/ramp.py
+++ b/sageturn/ramp.py
@@ -53,10 +53,12 @@
     """One relay's turns at servers that have just started, and its place among the relays."""
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        """Without a number among the relays (``settings.index``), chance stands in for it."""
+        """Without a number among the relays (``settings.index``), or a wrong one, chance stands in for it."""
         self._multiple, self._window_ms = settings.fall_multiple, max(1.0, settings.fall_ms)
         self._within_ms, self._cold_from = max(1.0, settings.warm_within_ms), settings.cold_from
         self._relays, self._index, self._rng = settings.balancers, settings.index, rng
+        if self._index is not None and self._index >= self._relays:
+            self._index = None
         per_s = sum(t.allowance_per_s for t in settings.tenants) or UNKNOWN_PER_S
         gap_ms = 1000.0 * settings.balancers / per_s  # between two requests at one relay
         # For a turn not to be lost it should wait so long; the longer it waits, the fewer there can be.
