Run hollow members beside real relays, and measure what control costs by size

Cause: nothing told what a relay's control costs at 460 members; the design was for tens. Change: sageturn lab scale FILE plays an experiment: the control part of relays (store, links, list, pace, accounting), many to a process, beside whole relays, over two regions and five zones, through a forwarder that puts in delay, loss and cuts. Octets and messages are counted at the sockets, processor time and memory come from the kernel. Slopes are fitted with intervals, judged for straightness, and a larger size is predicted before it is played. Memory, processes and time are bounded; an interrupt ends it whole.

--- a/sageturn/cli/lab.py
+++ b/sageturn/cli/lab.py
@@ -13,7 +13,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
-from sageturn.cli.link import NOT_THERE, USAGE, AsJson, fail
+from sageturn.cli.link import NOT_THERE, REFUSED, USAGE, AsJson, fail
 from sageturn.lab.compare import compare as compare_variants
 from sageturn.lab.experiment import BadExperiment, Experiment, Scenario, Variant, read_experiment
 from sageturn.lab.policy import read_policy
@@ -199,3 +199,29 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def scale(
+    file: Annotated[Path, typer.Argument(help="An experiment of scale, in TOML.")],
+    out: Annotated[Path, typer.Option(help="Where results go; what is there already is not played again.")],
+    plot: Annotated[Path | None, typer.Option(help="Where a plot goes, as PNG.")] = None,
+    only: Annotated[str, typer.Option(help="Just this size.")] = "",
+) -> None:
+    """Members beside real relays on loopback: what control costs by members and keys, and in faults."""
+    from sageturn.lab.scale import report as made  # matplotlib takes a second to load
+    from sageturn.lab.scale.plan import read_scale
+    from sageturn.lab.scale.results import run as run_scale
+
+    try:
+        experiment = read_scale(file)
+        results = run_scale(experiment, out, Path.cwd(), lambda text: print(text, flush=True), only)
+    except (BadExperiment, ValueError) as error:
+        fail(USAGE, str(error))
+    except KeyboardInterrupt:
+        fail(REFUSED, f"interrupted; {out} has what was played whole")
+    _show(made.table(results), experiment.name)
+    for line in made.fit_lines(results):
+        print(line)
+    if plot is not None:
+        made.plot(results, plot)
+    if any("failed" in line for line in results.runs):
+        raise typer.Exit(REFUSED)
--- /dev/null
+++ b/sageturn/lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale runs: hollow members beside real relays on loopback, and what their control costs by size."""
--- /dev/null
+++ b/sageturn/lab/scale/members.py
@@ -0,0 +1,224 @@
+"""Members of a scale run: the control part of a relay, without its clients, many to a process."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import time
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from sageturn.core.clock import Clock
+from sageturn.core.destinations import DestinationSet
+from sageturn.core.messages import Listed, WatchFailed
+from sageturn.core.module import ModuleActor
+from sageturn.core.tasks import end_task
+from sageturn.lab.scale.counting import owned, owning
+from sageturn.net.admission import Admission, Limits
+from sageturn.net.discovery import DiscoveryClient
+from sageturn.settings import read_settings
+from sageturn.store.records import Record
+from sageturn.store.replica import Replica, ReplicaOptions
+from sageturn.store.store import Store
+
+if TYPE_CHECKING:
+    from sageturn.relay import Relay
+
+CHANGE = "change/"
+KEY_NODE = "r0000"
+DESCRIPTORS, MEMORY_MB = 20_000, 4096.0  # the machine's bound is the experiment's, not the admission's
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """What a member knows of where it stands; today's spread has no use for it."""
+
+    name: str
+    zone: str
+    region: str
+
+
+class Spreader(Protocol):
+    """Whatever keeps a store's copy and the others' the same."""
+
+    def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
+def _digest(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Spreader:
+    return Replica(store, options, admission)
+
+
+def _delta(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Spreader:
+    try:
+        from sageturn.store.spread import make_spreader  # type: ignore[import-not-found]
+    except ImportError:
+        raise ValueError("spread: delta is not in this program") from None
+    made: Spreader = make_spreader(store, options, admission, place.name, place.zone, place.region)
+    return made
+
+
+SPREADS: dict[str, Callable[[Store, ReplicaOptions, Admission, Place], Spreader]] = {
+    "digest": _digest, "delta": _delta,
+}  # fmt: skip
+
+
+def make_spreader(
+    spread: str, store: Store, options: ReplicaOptions, admission: Admission, place: Place
+) -> Spreader:
+    """The one place where a run's key ``spread`` becomes code. Raises ValueError where it is not there."""
+    return SPREADS[spread](store, options, admission, place)
+
+
+def preload(keys: int) -> list[Record]:
+    """What stands in every copy from the start: a shard's placement each."""
+    return [
+        Record(f"shards/{n:06d}", {"host": f"h{n % 500:04d}", "weight": 1.0}, 1, KEY_NODE)
+        for n in range(keys)
+    ]
+
+
+def store_hash(store: Store) -> str:
+    """Equal for equal copies; what each says of itself in ``state/`` included."""
+    text = json.dumps(sorted((k, v[0], v[1]) for k, v in store.digest().items()))
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+class Witness:
+    """When a copy first held each change, on the machine's monotonic clock, which all processes share."""
+
+    def __init__(self, store: Store, held: dict[str, float]) -> None:
+        """``held`` outlives a wiped copy; ``again`` is this copy's own."""
+        self.held, self.again = held, dict[str, float]()
+        store.on_change.append(self._changed)
+
+    def _changed(self, records: list[Record]) -> None:
+        now_s = time.monotonic()
+        for record in records:
+            if record.key.startswith(CHANGE):
+                self.held.setdefault(record.key, now_s)
+                self.again.setdefault(record.key, now_s)
+
+
+class Hollow:
+    """Store, links, list, pace and accounting as ``Relay`` puts them together; no listener for clients."""
+
+    def __init__(self, job: dict[str, Any], whole: dict[str, Any], records: list[Record]) -> None:
+        self.name: str = job["name"]
+        self._job, self._whole = job, whole
+        self._records = records
+        self.running = False
+        self.listed_s = 0.0
+        self.lists = self.lists_failed = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self.held: dict[str, float] = {}
+        self._fresh(records)
+
+    def _fresh(self, records: list[Record]) -> None:
+        self.store = Store(self.name)
+        if records:
+            self.store.merge(records)
+        self.witness = Witness(self.store, self.held)
+
+    def start(self, wipe: bool = False) -> None:
+        """After ``stop`` as a process that comes again: with its copy as from its disk, or with none."""
+        if wipe:
+            self._fresh([])
+        job, whole = self._job, self._whole
+        options = ReplicaOptions(
+            ("127.0.0.1", job["port"]), tuple(("127.0.0.1", port) for port in job["peers"]),
+            bytes.fromhex(whole["secret"]), whole["interval_s"],
+        )  # fmt: skip
+        self.admission = Admission(Limits(DESCRIPTORS, MEMORY_MB))
+        with owned(job["row"], "store"):
+            self.spreader = make_spreader(
+                whole["spread"], self.store, options, self.admission,
+                Place(self.name, job["zone"], job["region"]),
+            )  # fmt: skip
+            self.spreader.start()
+        with owned(job["row"], "list"):
+            self.module = ModuleActor(
+                read_settings(job["settings"]), job["seed"], Clock(),
+                lambda: self.destinations.want_watch(),
+            )  # fmt: skip
+            self.destinations = DestinationSet(Listed(0, True), self.module.tell)
+            self.discovery = DiscoveryClient(("127.0.0.1", whole["discovery"]), self._hear)
+            self.destinations.watcher = self.discovery
+            runs = [self.module.run(), self.destinations.run()]
+            if whole["state_s"]:
+                runs.append(self._tell_state(whole["state_s"]))
+            self._tasks = [asyncio.ensure_future(run) for run in runs]
+        self.running = True
+
+    async def _hear(self, watch: int, said: Listed | WatchFailed) -> None:
+        if isinstance(said, Listed):
+            self.listed_s = time.monotonic()
+            self.lists += 1
+        else:
+            self.lists_failed += 1
+        await self.destinations.hear(watch, said)
+
+    async def _tell_state(self, every_s: float) -> None:
+        """As ``Relay`` does: a relay in service has ended some connections since it last told of itself."""
+        count = 0
+        await asyncio.sleep(every_s * (zlib.crc32(self.name.encode()) % 97) / 97.0)
+        while True:
+            count += 1
+            state = {
+                "standing": 50_000 + count, "ended": {"ok": count}, "flows_dropped": 0, "reports_dropped": {},
+            }  # fmt: skip
+            self.store.put(f"state/{self.name}/relay", state)
+            await asyncio.sleep(every_s)
+
+    async def stop(self) -> None:
+        """As a process that dies: sockets closed, nobody told."""
+        if not self.running:
+            return
+        self.running = False
+        await self.spreader.stop()
+        await self.discovery.stop()
+        for task in self._tasks:
+            await end_task(task)
+
+    def told(self) -> dict[str, Any]:
+        return _told(self)
+
+
+class RealMember:
+    """A whole relay, seen through the same words as a hollow member."""
+
+    def __init__(self, relay: Relay, row: int) -> None:
+        assert relay.replica is not None
+        self.name: str = relay.store.node
+        self.store: Store = relay.store
+        self.witness = Witness(self.store, {})
+        self.spreader: Spreader = relay.replica
+        self.running, self.listed_s, self.lists, self.lists_failed = True, 0.0, 0, 0
+        relay.replica.start = owning(row, "store", relay.replica.start)  # type: ignore[method-assign]
+        relay.discovery.start = owning(row, "list", relay.discovery.start)  # type: ignore[method-assign]
+        hear = relay.destinations.hear
+
+        async def heard(watch: int, said: Listed | WatchFailed) -> None:
+            if isinstance(said, Listed):
+                self.listed_s = time.monotonic()
+                self.lists += 1
+            else:
+                self.lists_failed += 1
+            await hear(watch, said)
+
+        relay.discovery._report = heard
+
+    def told(self) -> dict[str, Any]:
+        return _told(self)
+
+
+def _told(member: Hollow | RealMember) -> dict[str, Any]:
+    return {
+        "hash": store_hash(member.store), "records": len(member.store.digest()), "running": member.running,
+        "links": getattr(member.spreader, "links", -1), "listed_s": member.listed_s, "lists": member.lists,
+        "lists_failed": member.lists_failed,
+    }  # fmt: skip
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,582 @@
+"""Scale runs: their files' errors, fits, the link layer, what is counted, and one small run whole."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sageturn.lab.experiment import BadExperiment
+from sageturn.lab.runs import Results
+from sageturn.lab.scale import counting, members
+from sageturn.lab.scale.counting import CountingSocket, Counts, owned
+from sageturn.lab.scale.fit import exponent, fit
+from sageturn.lab.scale.lanes import HELD_MOST, RTO_LEAST_S, SEGMENT, Forwarder, Lane, Pipe
+from sageturn.lab.scale.members import Place, Witness, make_spreader, preload, store_hash
+from sageturn.lab.scale.plan import Around, Bounds, Lanes, ScaleExperiment, Size, Windows, read_scale
+from sageturn.lab.scale.play import Play, lane_name, measured, peers_of, play, spans
+from sageturn.lab.scale.report import fit_lines, plot, table
+from sageturn.lab.scale.results import TERMS, fits, judged, predict
+from sageturn.net.admission import Admission, Limits
+from sageturn.store.replica import ReplicaOptions
+from sageturn.store.store import Store
+
+SMALL = Windows(settle_s=0.6, idle_s=0.8, changes=6, changes_s=0.4, tail_s=0.6, ready_s=20.0)
+
+# ---------------------------------------------------------------- experiment files
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("", "missing required field `name`"),
+        ('name = "x"\nsizes = []', "`$.sizes`"),
+        ('name = "x"\n[[sizes]]\nname = "a"', "missing required field `members` - at `$.sizes[0]`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 1', "`$.sizes[0].members`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 1001', "`$.sizes[0].members`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nkeys = 300000', "`$.sizes[0].keys`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nkyes = 3', "unknown field `kyes`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nspread = "gossip"', "sizes[0].spread: gossip"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\ntopology = "ring"', "sizes[0].topology: ring"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nreal = 5', "sizes[0].real:"),
+        (
+            'name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\n[[sizes]]\nname = "a"\nmembers = 5',
+            "sizes[1].name: a",
+        ),
+        (
+            'name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nfaults = [{kind = "flood"}]',
+            "sizes[0].faults[0].kind: flood",
+        ),
+        (
+            'name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nfaults = [{kind = "loss", part = 1.0}]',
+            "sizes[0].faults[0].part:",
+        ),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 400\nper_process = 1', "sizes[0].per_process: 405"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 600\nkeys = 200000', "sizes[0].keys: 1"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 460\nper_process = 50', "sizes[0].members: 42"),
+        ('name = "x"\nbounds = {memory_gb = 13}\n[[sizes]]\nname = "a"\nmembers = 4', "`$.bounds.memory_gb`"),
+        ('name = "x"\nbounds = {processes = 999}\n[[sizes]]\nname = "a"\nmembers = 4', "$.bounds.processes"),
+        ('name = "x"\nbounds = {minutes = 0.1}\n[[sizes]]\nname = "a"\nmembers = 4', "sizes[0].faults:"),
+        ('name = "x"\nzones = 1\n[[sizes]]\nname = "a"\nmembers = 4', "zones:"),
+        ('name = "x"\nlanes = {loss = 2}\n[[sizes]]\nname = "a"\nmembers = 4', "`$.lanes.loss`"),
+    ],
+)
+def test_a_fault_in_an_experiment_names_its_file_and_key(tmp_path: Path, text: str, named: str) -> None:
+    file = tmp_path / "x.toml"
+    file.write_text(text, encoding="utf-8")
+    with pytest.raises(BadExperiment) as error:
+        read_scale(file)
+    said = str(error.value)
+    assert said.startswith(str(file)) and named in said
+
+
+def test_a_file_that_is_not_there_and_one_that_is_no_toml_are_told(tmp_path: Path) -> None:
+    with pytest.raises(BadExperiment, match="No such file"):
+        read_scale(tmp_path / "none.toml")
+    (tmp_path / "bad.toml").write_text("name = ")
+    with pytest.raises(BadExperiment, match="bad.toml"):
+        read_scale(tmp_path / "bad.toml")
+
+
+def test_the_experiments_that_lie_here_can_all_be_read() -> None:
+    files = sorted((Path(__file__).parent.parent / "experiments").glob("scale*.toml"))
+    assert files
+    for file in files:
+        assert read_scale(file).name == file.stem
+
+
+# ---------------------------------------------------------------- fits
+
+
+def test_a_straight_line_is_found_and_told_from_a_bent_one() -> None:
+    rows = [[1.0, n] for n in (10.0, 20.0, 40.0, 80.0)]
+    line = fit(("1", "n"), rows, [5.0 + 3.0 * n for _, n in rows])
+    assert line.values == pytest.approx((5.0, 3.0)) and line.straight and line.r2 == pytest.approx(1.0)
+    middle, low, high = line.at([1.0, 160.0])
+    assert middle == pytest.approx(485.0) and low == pytest.approx(middle) == high
+    bent = fit(("1", "n"), rows, [n * n for _, n in rows])
+    assert not bent.straight and bent.worst > 0.2
+    assert bent.at([1.0, 160.0])[2] - bent.at([1.0, 160.0])[1] > 1000.0, "what is bent is told with doubt"
+
+
+def test_three_sizes_are_too_few_for_a_slope_however_straight() -> None:
+    rows = [[1.0, n] for n in (10.0, 20.0, 40.0)]
+    assert not fit(("1", "n"), rows, [2.0 * n for _, n in rows]).straight
+    again = [*rows, rows[0]]
+    assert not fit(("1", "n"), again, [2.0 * n for _, n in again]).straight, "the same size twice is one"
+
+
+@pytest.mark.parametrize(
+    ("rows", "y"),
+    [
+        ([[1.0, 2.0]], [3.0]),
+        ([[1.0, 2.0], [1.0, 3.0]], [3.0, 0.0]),
+        ([[1.0, 2.0], [2.0, 4.0], [3.0, 6.0]], [1.0, 2.0, 3.0]),
+        ([[1.0], [1.0]], [1.0, 2.0]),
+    ],
+)
+def test_what_tells_no_slope_is_refused(rows: list[list[float]], y: list[float]) -> None:
+    with pytest.raises(ValueError):
+        fit(("1", "n"), rows, y)
+
+
+@given(
+    st.floats(0.1, 100.0), st.floats(0.1, 100.0),
+    st.lists(st.floats(-0.04, 0.04), min_size=6, max_size=6), st.integers(0, 5),
+)  # fmt: skip
+def test_noise_widens_the_interval_and_size_does_not_weigh(
+    a: float, b: float, noise: list[float], scaled: int
+) -> None:
+    rows = [[1.0, float(n)] for n in (1, 3, 10, 30, 100, 300)]
+    y = [(a + b * n) * (1.0 + e) for (_, n), e in zip(rows, noise, strict=True)]
+    line = fit(("1", "n"), rows, y)
+    assert line.low[1] <= line.values[1] <= line.high[1]
+    times = 10.0**scaled
+    again = fit(("1", "n"), rows, [v * times for v in y])
+    assert again.values[1] == pytest.approx(line.values[1] * times, rel=1e-6)
+    assert again.worst == pytest.approx(line.worst, rel=1e-6, abs=1e-9)
+
+
+def test_an_exponent_tells_a_square_from_a_line() -> None:
+    x = [10.0, 20.0, 40.0, 80.0]
+    square = exponent(x, [n * n * (1.0 + 0.01 * (-1) ** k) for k, n in enumerate(x)])
+    assert square.low < 2.0 < square.high and square.low > 1.9
+    with pytest.raises(ValueError):
+        exponent(x[:2], [1.0, 2.0])
+
+
+def run_line(n: int, keys: int, octets: float, **more: object) -> dict[str, object]:
+    used = {"octets": octets, "octets_most": octets, "core": octets / 1e6, "core_busiest": octets / 1e6}
+    phase = {"saturated": False, "hollow": used}
+    last = {"last": spans([0.1, 0.2])}
+    return {
+        "scenario": f"m{n}", "seed": 1, "spread": "digest", "members": n, "keys": keys,
+        "links": n * (n - 1) / 2, "phases": {"idle": phase, "changes": {**phase, "changes": last}},
+        "equal": {"all": True, "kinds": 1}, **more,
+    }  # fmt: skip
+
+
+def test_a_larger_size_is_predicted_from_those_that_were_sound_and_judged_after() -> None:
+    lines = [run_line(n, k, (n - 1) * (70.0 + 27.0 * k)) for n, k in ((4, 10), (8, 10), (4, 100), (8, 200))]
+    saturated = run_line(16, 1000, 1.0)
+    saturated["phases"]["idle"]["saturated"] = True  # type: ignore[index]
+    lines += [saturated, {"failed": "minutes", "spread": "digest"}]
+    size = Size("m32", 32, keys=100)
+    told = predict(lines, size)
+    assert told["octets"]["value"] == pytest.approx(31 * (70.0 + 2700.0))
+    assert fits(lines, "digest")["octets"].sizes == 4 and fits(lines, "delta") == {}
+    came = judged(run_line(32, 100, 31 * 2770.0 * 3.0, predicted=told))
+    assert came["predicted"]["octets"]["inside"] is False
+    assert came["predicted"]["octets"]["ratio"] == pytest.approx(3.0)
+    failed = judged({"failed": "memory_gb", "predicted": predict(lines, size)})
+    assert failed["predicted"]["octets"].keys() == {"value", "low", "high", "fit"}
+    assert predict(lines[:3], size) == {}, "three sizes tell no slope"
+
+
+def test_reports_say_what_failed_what_was_held_up_and_how_straight_a_slope_is(tmp_path: Path) -> None:
+    results = Results(tmp_path / "r.jsonl")
+    results.start({"experiment": {"name": "x"}, "policies": {}, "revision": "abc"})
+    for n, k in ((4, 10), (8, 10), (4, 100), (8, 200)):
+        results.add(run_line(n, k, (n - 1) * (70.0 + 27.0 * k)))
+    results.add({**run_line(99, 5, 1.0), "failed": "Overrun: minutes: over 1"})
+    rows = table(results)
+    assert len(rows) == 1 + 4 * 2 + 1 and {len(r) for r in rows} == {17}
+    assert rows[-1][-1].startswith("Overrun")
+    assert any("straight" in text and TERMS[0] in text for text in fit_lines(results))
+    plot(results, tmp_path / "p.png")
+    assert (tmp_path / "p.png").read_bytes().startswith(b"\x89PNG")
+
+
+# ---------------------------------------------------------------- the link layer, with a clock of its own
+
+
+class Line:
+    """A pipe and its clock."""
+
+    def __init__(self, delay_s: float = 0.01, loss: float = 0.0, seed: int = 1) -> None:
+        self.now_s = 0.0
+        self.lane = Lane("zone:0-0", delay_s, loss)
+        self.pipe = Pipe(self.lane, Random(seed), lambda: self.now_s)
+
+    def taken(self) -> bytes:
+        found = b""
+        while data := self.pipe.take():
+            found += data
+        return found
+
+
+def test_what_is_sent_is_there_after_the_delay_and_not_before() -> None:
+    line = Line(delay_s=0.035)
+    line.pipe.put(b"ab")
+    line.now_s = 0.030
+    assert line.taken() == b"" and line.pipe.wait_s() == pytest.approx(0.005)
+    line.now_s = 0.035
+    assert line.taken() == b"ab" and line.pipe.held == 0
+
+
+def test_a_cut_holds_back_what_is_on_its_way_and_gives_it_in_order_after() -> None:
+    line = Line()
+    line.pipe.put(b"1")
+    line.lane.set_cut(True)
+    line.pipe.put(b"2")
+    line.now_s = 60.0
+    assert line.taken() == b"" and not line.lane.healed.is_set()
+    line.lane.set_cut(False)
+    assert line.taken() == b"12" and line.lane.healed.is_set()
+
+
+def test_a_lost_segment_holds_up_all_that_follows_by_tcps_own_timer() -> None:
+    line = Line(loss=0.5, seed=3)
+    due = []
+    for number in range(40):
+        line.now_s = number * 0.001
+        line.pipe.put(bytes([number]))
+        due.append(line.pipe.waiting[-1][0])
+    assert due == sorted(due), "nothing overtakes"
+    assert due[-1] - 0.039 > RTO_LEAST_S and line.lane.resent > 0
+    line.now_s = due[-1]
+    assert line.taken() == bytes(range(40)), "nothing is lost for good"
+
+
+def test_a_loss_with_more_behind_it_costs_a_round_trip_and_at_the_end_the_timer() -> None:
+    lane = Lane("x", 0.035)
+    assert lane._recovery_s(1, 3) == pytest.approx(0.07)
+    assert lane._recovery_s(1, 0) == pytest.approx(RTO_LEAST_S)
+    assert lane._recovery_s(2, 0) == pytest.approx(3 * RTO_LEAST_S), "the timer doubles"
+
+
+@given(
+    st.lists(st.binary(min_size=1, max_size=4 * SEGMENT), max_size=12), st.floats(0, 0.4), st.integers(0, 99)
+)
+def test_a_lossy_lane_gives_back_the_stream_as_it_was_and_the_same_for_the_same_seed(
+    chunks: list[bytes], loss: float, seed: int
+) -> None:
+    def due() -> list[float]:
+        line = Line(loss=loss, seed=seed)
+        for data in chunks:
+            line.pipe.put(data)
+        times = [at_s for at_s, _ in line.pipe.waiting]
+        line.now_s = 1e9
+        assert line.taken() == b"".join(chunks)
+        return times
+
+    assert due() == due() == sorted(due())
+
+
+def test_lanes_are_named_by_both_zones_and_lie_in_two_regions() -> None:
+    x = ScaleExperiment("x", (Size("a", 10),))
+    assert [x.region(z) for z in range(5)] == [0, 0, 0, 1, 1]
+    assert lane_name(x, 2, 0) == lane_name(x, 0, 2) == "region:0-2"
+    assert lane_name(x, 4, 1) == "between:1-4" and lane_name(x, 3, 3) == "zone:3-3"
+
+
+def test_hand_made_links_join_all_members_and_are_counted_right() -> None:
+    for topology in ("mesh", "tree"):
+        size = Size("a", 30, topology=topology, fanout=4)
+        dialled = [peers_of(size, n, 5) for n in range(30)]
+        assert sum(map(len, dialled)) == size.links
+        reached = {0}
+        for member, peers in enumerate(dialled):
+            assert all(peer < member for peer in peers)
+            if reached & set(peers):
+                reached.add(member)
+        assert reached == set(range(30))
+    assert all(0 < len(peers_of(Size("a", 9, topology="seeds"), n, 5)) <= 2 for n in range(9))
+
+
+def listening() -> socket.socket:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    return sock
+
+
+def on_loopback(story: Callable[[], object]) -> None:
+    async def go() -> None:
+        await asyncio.wait_for(story(), 20)  # type: ignore[arg-type]
+
+    asyncio.run(go())
+
+
+def test_a_forwarder_passes_both_ways_through_a_cut_and_ends_what_ended() -> None:
+    async def story() -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(65536):
+                writer.write(data)
+            writer.close()
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        front = listening()
+        lane = Lane("zone:0-0", 0.001, 0.05)
+        running = asyncio.ensure_future(
+            Forwarder(front, server.sockets[0].getsockname(), lane, seed=5).run()
+        )
+        await asyncio.sleep(0)  # it listens from its first turn on
+        reader, writer = await asyncio.open_connection(*front.getsockname())
+        sent = os.urandom(100_000)
+        lane.set_cut(True)
+        writer.write(sent)
+        lane.set_cut(False)
+        assert await reader.readexactly(len(sent)) == sent
+        assert lane.octets >= 2 * len(sent) and lane.resent > 0
+        writer.write_eof()
+        assert await reader.read() == b"", "an end is passed on as an end"
+        writer.close()
+        running.cancel()
+        await asyncio.wait((running,))
+        with pytest.raises(OSError):
+            await asyncio.open_connection(*server.sockets[0].getsockname()[:1], port=front_port)
+        server.close()
+
+    front_port = listening().getsockname()[1]
+    on_loopback(story)
+
+
+def test_a_sender_that_is_faster_than_its_lane_is_held_back() -> None:
+    async def story() -> None:
+        got: list[int] = []
+
+        async def swallow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(65536):
+                got.append(len(data))
+            writer.close()
+
+        server = await asyncio.start_server(swallow, "127.0.0.1", 0)
+        front = listening()
+        lane = Lane("between:0-3", 0.01)
+        running = asyncio.ensure_future(
+            Forwarder(front, server.sockets[0].getsockname(), lane, seed=5).run()
+        )
+        await asyncio.sleep(0)
+        _, writer = await asyncio.open_connection(*front.getsockname())
+        lane.set_cut(True)
+        writer.write(bytes(20 * HELD_MOST))
+        while lane.octets < HELD_MOST:
+            await asyncio.sleep(0.001)
+        for _ in range(50):
+            await asyncio.sleep(0.001)
+        assert lane.octets < HELD_MOST + 2 * 65536, "no more is taken up than may be held"
+        lane.set_cut(False)
+        await writer.drain()
+        writer.close()
+        while sum(got) < 20 * HELD_MOST:
+            await asyncio.sleep(0.001)
+        running.cancel()
+        await asyncio.wait((running,))
+        server.close()
+
+    on_loopback(story)
+
+
+# ---------------------------------------------------------------- what is counted
+
+
+def test_a_counting_socket_says_what_the_kernel_says(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "counts"
+    counting.make(file, 2)
+    flat = memoryview(bytearray(file.read_bytes())).cast("Q")
+    monkeypatch.setattr(counting, "_counts", flat)
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        with owned(1, "store"):
+            ours = CountingSocket(socket.AF_INET, socket.SOCK_STREAM)
+        with owned(0, "list"):
+            other = CountingSocket(socket.AF_INET, socket.SOCK_STREAM)
+        stray = CountingSocket(socket.AF_INET, socket.SOCK_STREAM)
+        ours.connect(listener.getsockname())
+        theirs, _ = listener.accept()
+        assert ours.send(b"abc") == 3 and ours.sendmsg((b"de", b"f")) == 3
+        theirs.sendall(bytes(1000))
+        buffer = bytearray(600)
+        assert ours.recv_into(buffer) == 600 and len(ours.recv(600)) == 400
+        # struct tcp_info: octets that the other side has acknowledged, and octets that came in
+        _, received = struct.unpack_from("QQ", ours.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 160), 120)
+        for sock in (ours, other, stray, theirs):
+            sock.close()
+    file.write_bytes(flat.tobytes())
+    nobody, counts = counting.read(file, 2)
+    assert counts.values["store"] == {
+        "in_octets": 1000, "out_octets": 6, "in_messages": 2, "out_messages": 2,
+    }  # fmt: skip
+    assert received == 1000
+    assert counts.sum("in_octets", "list", "client") == 0 and nobody.sum("out_octets") == 0
+    assert counts.since(counts).sum("in_octets") == 0
+
+
+def test_tasks_pass_on_whose_socket_it_is(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(counting, "_counts", memoryview(bytearray(8 * counting.ROW)).cast("Q"))
+
+    async def story() -> None:
+        async def dial() -> None:
+            with CountingSocket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                sock.connect(("127.0.0.1", 9))
+                sock.send(b"12345")
+
+        with owned(0, "store"):
+            task = asyncio.ensure_future(dial())
+        await task
+
+    on_loopback(story)
+    counts = counting._counts
+    assert counts is not None and sorted(counts.tolist())[-2:] == [1, 5]
+
+
+def counts_of(messages: int, octets: int) -> Counts:
+    empty = dict.fromkeys(counting.FIELDS, 0)
+    store = {**empty, "in_messages": messages, "in_octets": octets}
+    return Counts({p: dict(store if p == "store" else empty) for p in counting.PURPOSES})
+
+
+def test_processor_time_is_divided_evenly_and_the_busiest_has_its_messages_part() -> None:
+    rows = [[counts_of(10, 100), counts_of(30, 300)], [counts_of(40, 400)]]
+    told = measured(["hollow", "real"], rows, [0.4, 0.5], 10.0)
+    assert told["hollow"]["core"] == pytest.approx(0.02) and told["real"]["core"] == pytest.approx(0.05)
+    assert told["hollow"]["core_busiest"] == pytest.approx(0.04 * 30 / 40)
+    assert told["hollow"]["octets"] == 20.0 and told["hollow"]["octets_most"] == 30.0
+    assert not told["saturated"] and measured(["real"], rows[1:], [9.0], 10.0)["saturated"]
+
+
+def test_spans_tell_the_last_ones_and_never_hide_one_that_did_not_come() -> None:
+    assert spans([]) == {"n": 0}
+    told = spans([0.1] * 98 + [5.0, float("inf")])
+    assert (told["p50"], told["p99"], told["worst"]) == (0.1, 5.0, None)
+    assert told["over_4s"] == 2 and told["never"] == 1
+    assert msgspec.json.decode(msgspec.json.encode(told)) == told
+
+
+# ---------------------------------------------------------------- members
+
+
+def test_a_wiped_copy_keeps_when_it_first_held_a_change_and_counts_anew() -> None:
+    held: dict[str, float] = {}
+    first = Store("a")
+    witness = Witness(first, held)
+    first.put("change/1", 1)
+    first.put("other", 1)
+    second = Store("a")
+    again = Witness(second, held)
+    second.merge([first._records["change/1"]])
+    assert list(held) == ["change/1"]
+    assert again.again["change/1"] >= witness.again["change/1"] == held["change/1"]
+
+
+def test_copies_with_the_same_records_have_the_same_hash_and_one_change_tells() -> None:
+    one, two = Store("a"), Store("b")
+    one.merge(preload(20))
+    two.merge(reversed(preload(20)))
+    assert store_hash(one) == store_hash(two)
+    two.put("shards/000003", None)
+    assert store_hash(one) != store_hash(two)
+
+
+def test_another_spread_can_be_put_in_by_its_name(monkeypatch: pytest.MonkeyPatch) -> None:
+    made = []
+
+    class Other:
+        def start(self) -> None: ...
+
+        async def stop(self) -> None: ...
+
+    def make(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Other:
+        made.append((store, place))
+        return Other()
+
+    monkeypatch.setitem(members.SPREADS, "other", make)
+    store, place = Store("a"), Place("a", "z0", "g0")
+    options = ReplicaOptions(("127.0.0.1", 0), (), b"")
+    found = make_spreader("other", store, options, Admission(Limits(64, 64.0)), place)
+    assert isinstance(found, Other) and made == [(store, place)]
+
+
+# ---------------------------------------------------------------- whole runs
+
+
+def left_behind(folder: Path) -> list[str]:
+    """Processes whose job lies in this folder."""
+    found = []
+    for entry in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            text = entry.read_bytes().replace(b"\0", b" ").decode(errors="replace")
+        except OSError:
+            continue
+        if "sageturn.lab.scale.process" in text and str(folder) in text:
+            found.append(text)
+    return found
+
+
+def test_a_small_run_holds_every_change_everywhere_and_sends_no_more_than_it_should(tmp_path: Path) -> None:
+    keys, interval_s = 50, 0.2
+    experiment = ScaleExperiment(
+        "x", (Size("a", 5, keys=keys, real=1),), seeds=(7,), interval_s=interval_s, windows=SMALL,
+        lanes=Lanes(between_ms=2.0), around=Around(hosts=8, clients=2),
+    )  # fmt: skip
+    experiment.check()
+    line = asyncio.run(Play(experiment, experiment.sizes[0], 7, tmp_path).run())
+    assert line["equal"]["all"] and line["links"] == 10
+    idle, changes = line["phases"]["idle"], line["phases"]["changes"]
+    assert changes["changes"]["last"]["n"] == 6 and changes["changes"]["last"]["never"] == 0
+    # At rest a link's end says its digest once an interval. Beyond that, the whole relay may tell its state
+    # once within the window, and each copy passes that on over all its links.
+    frame = 4 + 32 + len('{"digest":{}}') + (keys + 1) * len('"state/r0000/relay":[1,"r0000"],')
+    for role in ("hollow", "real"):
+        ends, took_s = 4, idle["took_s"]
+        messages = idle[role]["store_out_messages_most"] * took_s
+        assert 0 < messages <= ends * (took_s / interval_s + 1) + ends + 0.5
+        assert idle[role]["store_out_octets_most"] <= idle[role]["store_out_messages_most"] * (frame + 1)
+    # Each change goes over each link twice at the most: as news, and back as news to its giver.
+    record = 4 + 32 + 200
+    extra = (changes["hollow"]["store_out_octets"] - idle["hollow"]["store_out_octets"]) * changes["took_s"]
+    assert extra <= 7 * 2 * 4 * record + 4 * (frame + 7 * 40)
+    assert line["discovery"]["calls"] >= 5 and line["discovery"]["failed"] == 0
+    assert line["clients"]["opened"] >= 2 and line["clients"]["refused"] == 0
+    assert idle["descriptors_real"][0] > 8 and line["memory"]["real_mb"][0] > 10
+    assert left_behind(tmp_path) == []
+
+
+def test_a_run_over_its_bound_is_ended_and_says_so(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    tight = ScaleExperiment("x", (Size("a", 3),), windows=SMALL, bounds=Bounds(memory_gb=0.01))
+    with pytest.raises(ValueError, match=r"sizes\[0\].keys"):
+        tight.check()  # it would be refused when read; here it is begun all the same
+    line = asyncio.run(play(tight, tight.sizes[0], 1, lambda text: None))
+    assert line["failed"].startswith("Overrun: memory_gb")
+    assert left_behind(tmp_path) == [] and list(tmp_path.iterdir()) == []
+
+
+def test_an_interrupt_ends_the_command_and_all_its_processes(tmp_path: Path) -> None:
+    file = tmp_path / "x.toml"
+    file.write_text('name = "x"\n[windows]\nsettle_s = 60\n[[sizes]]\nname = "a"\nmembers = 3\n')
+    environ = {**os.environ, "TMPDIR": str(tmp_path)}
+    with subprocess.Popen(
+        [sys.executable, "-m", "sageturn.cli.main", "lab", "scale", str(file), "--out", str(tmp_path / "o")],
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True, env=environ, start_new_session=True,
+    ) as command:  # fmt: skip
+        assert command.stdout is not None and "3 members" in command.stdout.readline()
+        for _ in range(1000):
+            if len(left_behind(tmp_path)) >= 8:
+                break
+            try:
+                command.wait(0.02)
+                break
+            except subprocess.TimeoutExpired:
+                continue
+        assert len(left_behind(tmp_path)) >= 8, "five parts of the link layer, and three members' processes"
+        command.send_signal(signal.SIGINT)
+        _, said = command.communicate(timeout=20)
+    assert command.returncode == 1 and "interrupted" in said
+    assert left_behind(tmp_path) == [] and len((tmp_path / "o").read_text().splitlines()) == 1
