Measure single parts of a relay's control by size, and clients that stand at a real one

Change: sageturn lab costs measures each at four sizes or more and fits it; discovery's calls are played in simulated time with the program's own pace; a size may have standing clients at its real relays.

--- a/sageturn/cli/lab.py
+++ b/sageturn/cli/lab.py
@@ -199,6 +199,27 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def costs(
+    out: Annotated[Path, typer.Option(help="Where lines are added.")],
+    only: Annotated[str, typer.Option(help="Parts, with commas between; else all.")] = "",
+) -> None:
+    """What single parts of a relay's control cost by their size, with fits: a minute on one core."""
+    from sageturn.lab.runs import revision
+    from sageturn.lab.scale.costs import PARTS, run_costs
+
+    chosen = [name for name in only.split(",") if name]
+    for name in chosen:
+        if name not in (*PARTS, "list_calls"):
+            fail(USAGE, f"only: {name} must be one of {', '.join(PARTS)}, list_calls")
+    marked = {"revision": revision(Path.cwd()), "load": round(os.getloadavg()[0], 2)}
+    with out.open("a", encoding="utf-8") as lines:
+        for line in run_costs(chosen):
+            lines.write(json.dumps({**line, **marked}) + "\n")
+            lines.flush()
+            print(json.dumps(line))
+
+
 @app.command()
 def scale(
     file: Annotated[Path, typer.Argument(help="An experiment of scale, in TOML.")],
--- a/sageturn/lab/scale/around.py
+++ b/sageturn/lab/scale/around.py
@@ -14,6 +14,7 @@
 WAITS_S = 3.0  # discovery fails a call that has waited so long
 LINE_S = 2.0
 AGAIN_S = 0.5
+PACE_S = 0.005  # between two clients that come to one relay
 HOSTS = 4  # sockets behind all the list's entries
 
 
@@ -93,7 +94,7 @@
     def start(self) -> None:
         for address in self._addresses:
             for number in range(self._each):
-                self._tasks.append(asyncio.ensure_future(self._come(address, number * 0.02)))
+                self._tasks.append(asyncio.ensure_future(self._come(address, number * PACE_S)))
 
     async def stop(self) -> None:
         for task in self._tasks:
--- /dev/null
+++ b/sageturn/lab/scale/costs.py
@@ -0,0 +1,285 @@
+"""What single parts of a relay's control cost, by their size: one core, in one process, mostly no sockets.
+
+Each cost is measured at several sizes and fitted; ``docs/CAPACITY.md`` says what follows at the size that is
+designed for. Processor times are the least of some repeats, so that what runs beside counts for little.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from sageturn import interface as api
+from sageturn.core.endings import Ending
+from sageturn.core.messages import Ask
+from sageturn.core.requests import Record as Ended
+from sageturn.flows.exporter import to_flow
+from sageturn.lab.scale.fit import exponent, fit
+from sageturn.lab.scale.members import preload
+from sageturn.net.admission import Admission, Limits
+from sageturn.net.discovery import read_listed
+from sageturn.rules import Balancer
+from sageturn.shares import CallPace
+from sageturn.store.frames import FRAME_MOST
+from sageturn.store.replica import Replica, ReplicaOptions, connected
+from sageturn.store.store import Store
+
+Line = dict[str, Any]
+
+REPEATS = 5
+SECRET = b"x" * 32
+PATIENCE_MS = 3000.0  # after which discovery fails a call
+
+
+def least_s(call: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Processor time of the fastest of some calls."""
+    found = []
+    for _ in range(repeats):
+        began_s = time.process_time()
+        call()
+        found.append(time.process_time() - began_s)
+    return min(found)
+
+
+def filled(keys: int) -> Store:
+    store = Store("r0001")
+    store.merge(preload(keys))
+    return store
+
+
+# ---------------------------------------------------------------- the store
+
+
+def store_memory(keys: int) -> Line:
+    """Octets that Python holds for each key of a copy whose records came over a link."""
+    text = json.dumps([record.to_json() for record in preload(keys)])
+    from sageturn.store.records import read_record
+
+    gc.collect()
+    tracemalloc.start()
+    store = Store("r0001")
+    store.merge(read_record(obj) for obj in json.loads(text))
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {"octets": held, "kept": len(store.keys())}
+
+
+def store_digest(keys: int) -> Line:
+    """One digest: made and written by one side, read and compared by the other."""
+    store = filled(keys)
+    text = json.dumps({"digest": store.digest()}, separators=(",", ":"))
+
+    def write() -> None:
+        json.dumps({"digest": store.digest()}, separators=(",", ":")).encode()
+
+    def compare() -> None:
+        told = {str(k): (int(v[0]), str(v[1])) for k, v in json.loads(text)["digest"].items()}
+        store.missing_from(told)
+        mine = store.digest()
+        all(k in mine and mine[k] >= order for k, order in told.items())
+
+    return {"octets": len(text), "write_s": least_s(write), "compare_s": least_s(compare),
+            "frame_part": len(text) / FRAME_MOST}  # fmt: skip
+
+
+def store_log(keys: int) -> Line:
+    """Octets on the disk, time to read them at a start, and one change made durable there."""
+    with TemporaryDirectory(prefix="sageturn-costs-") as folder:
+        path = Path(folder) / "log"
+        store = Store("r0001", path)
+        store.merge(preload(keys))
+        octets = path.stat().st_size
+        began_s = time.perf_counter()
+        for number in range(20):
+            store.put("change", number)
+        put_s = (time.perf_counter() - began_s) / 20
+        store.close()
+        read_s = least_s(lambda: Store("r0001", path).close(), 3)
+    return {"octets": octets, "put_s": put_s, "read_s": read_s}
+
+
+def operator_command(keys: int) -> Line:
+    """``sageturn store --connect``: a copy for a moment. In one process, so both sides' work is in it."""
+    async def go() -> Line:
+        admission = Admission(Limits(1024, 1024.0))
+        replica = Replica(filled(keys), ReplicaOptions(("127.0.0.1", 0), (), SECRET), admission)
+        replica.start()
+        try:
+            began_s = time.perf_counter()
+            async with connected(replica.address, SECRET, 60.0) as store:
+                there_s = time.perf_counter() - began_s
+                kept = len(store.keys())
+                store.put("change", 1)
+            return {"copied_s": there_s, "done_s": time.perf_counter() - began_s, "kept": kept}
+        finally:
+            await replica.stop()
+
+    return asyncio.run(go())
+
+
+# ---------------------------------------------------------------- list, module, flows
+
+
+def _list(hosts: int) -> Line:
+    return {
+        "version": 1, "full": True, "servers": [
+            {"id": f"h{n:05d}", "addr": f"10.0.{n // 256}.{n % 256}:8081", "zone": f"z{n % 5}",
+             "kind": "c2-std", "cell": 0, "state": "ready", "weight": 1.0, "started_ms": 0}
+            for n in range(hosts)
+        ],
+    }  # fmt: skip
+
+
+def list_reading(hosts: int) -> Line:
+    text = json.dumps(_list(hosts))
+    return {"octets": len(text), "read_s": least_s(lambda: read_listed(json.loads(text)))}
+
+
+def decisions(hosts: int) -> Line:
+    """A request's events at the module: asked, up, ended; and a word of the list on one host."""
+    settings = api.Settings(
+        classes=(api.RequestClass("c", aim_ms=500.0),), tenants=(api.Tenant("t", 1e9, 1e9),), balancers=460,
+        discovery="push",
+    )  # fmt: skip
+    balancer = Balancer(settings, 1)
+    listed = read_listed(_list(hosts))
+    read_s = least_s(lambda: balancer.handle(0.0, api.ServerList("full", listed.servers)), 1)
+    sent = 0
+
+    def requests(first: int, count: int) -> None:
+        nonlocal sent
+        for number in range(first, first + count):
+            now_ms = 1000.0 + number * 4.0
+            acts = balancer.handle(now_ms, api.Request(number, "c", "t", give_up_at_ms=now_ms + 2000.0))
+            chosen = next((a.server for a in acts if isinstance(a, api.Send)), None)
+            if chosen is not None:
+                sent += 1
+                balancer.handle(now_ms + 1.0, api.FirstSign(number, 0, chosen))
+                balancer.handle(now_ms + 2.0, api.Outcome(number, 0, chosen, "ok", final=True))
+
+    count = 400
+    requests(0, count)
+    batches = iter(range(1, 100))
+    each_s = least_s(lambda: requests(next(batches) * count, count), 3) / count
+    one = [api.Server("h00001", "draining", zone="z1")]
+    change_s = least_s(lambda: balancer.handle(1e6, api.ServerList("changes", one)))
+    return {"request_s": each_s, "list_s": read_s, "change_s": change_s, "sent": sent / (4 * count)}
+
+
+def flow_record(name_length: int) -> Line:
+    """What the flows' collector is fed for one ended connection; class and tenant of that length."""
+    ask = Ask("c" * name_length, "t" * name_length, 2000.0)
+    ended = Ended(ask, 1.0, client=("10.0.0.1", 40000))
+    ended.endpoint, ended.endpoint_address, ended.ended_ms = "h", ("10.0.0.2", 8081), 2.0
+    ended.ending = Ending.MOVED
+    count = 1000
+
+    def encode() -> None:
+        for _ in range(count):
+            to_flow(ended).encode()
+
+    return {"octets": len(to_flow(ended).encode()), "encode_s": least_s(encode) / count}
+
+
+# ---------------------------------------------------------------- discovery's calls, in simulated time
+
+
+def list_calls(relays: int, service_ms: float, lost: bool, seed: int) -> Line:
+    """All relays want the list at once: after all watches broke (``lost``), or after a common start.
+
+    Discovery works on one call after another, also on those that have given up, and fails each that has
+    waited ``PATIENCE_MS``. Simulated time; each relay's pace is the program's own.
+    """
+    import heapq
+
+    paces = [CallPace(relays, 700.0, 10_000.0, Random(seed * 10_000 + k)) for k in range(relays)]
+    events: list[tuple[float, int, str, int, int]] = []
+    order = calls = failed = 0
+
+    def at(due_ms: float, what: str, relay: int, call: int) -> None:
+        nonlocal order
+        order += 1
+        heapq.heappush(events, (due_ms, order, what, relay, call))
+
+    for relay, pace in enumerate(paces):
+        at(pace.lost_ms(0.0) if lost else pace.first_ms(), "call", relay, 0)
+    free_ms, told, over = 0.0, dict[int, float](), set[int]()
+    asked: list[float] = []
+    while events and len(told) < relays:
+        now_ms, _, what, relay, call = heapq.heappop(events)
+        if what == "call":
+            calls += 1
+            asked.append(now_ms)
+            free_ms = max(free_ms, now_ms) + service_ms
+            at(now_ms + PATIENCE_MS, "failed", relay, calls)
+            at(free_ms, "answered", relay, calls)
+        elif call not in over:
+            over.add(call)
+            if what == "answered":
+                told[relay] = now_ms
+                paces[relay].succeeded()
+            else:
+                failed += 1
+                at(now_ms + paces[relay].failed_ms(), "call", relay, 0)
+    times = sorted(told.values())
+    busiest = max(sum(a <= t < a + 1000.0 for t in asked) for a in asked[:relays])
+    return {
+        "p50_s": times[(len(times) - 1) // 2] / 1e3, "p99_s": times[int(0.99 * (len(times) - 1))] / 1e3,
+        "last_s": times[-1] / 1e3, "calls": calls, "failed": failed, "busiest_s": busiest,
+    }  # fmt: skip
+
+
+# ---------------------------------------------------------------- all of them
+
+KEYS = (1000, 3000, 10_000, 27_000, 60_000, 100_000)
+HOSTS = (90, 300, 1000, 3000, 10_000)
+RELAYS = (50, 115, 230, 460, 920)
+
+# name: the measure, its sizes, and which of its fields are fitted
+PARTS: dict[str, tuple[Callable[[int], Line], tuple[int, ...], tuple[str, ...]]] = {
+    "store_memory": (store_memory, KEYS, ("octets",)),
+    "store_digest": (store_digest, KEYS, ("octets", "write_s", "compare_s")),
+    "store_log": (store_log, KEYS, ("octets", "read_s")),
+    "operator_command": (operator_command, KEYS[:-1], ("copied_s",)),
+    "list_reading": (list_reading, HOSTS, ("octets", "read_s")),
+    "decisions": (decisions, HOSTS, ("request_s", "list_s", "change_s")),
+    "flow_record": (flow_record, (4, 8, 16, 32), ("octets",)),
+}  # fmt: skip
+
+
+def run_costs(only: Iterable[str] = ()) -> Iterator[Line]:
+    """A line for each part and size, and after each part its fits."""
+    chosen = set(only) or {*PARTS, "list_calls"}
+    for name, (measure, sizes, fields) in PARTS.items():
+        if name not in chosen:
+            continue
+        found = []
+        for size in sizes:
+            found.append({"size": size, **measure(size)})
+            yield {"part": name, **found[-1]}
+        for field in fields:
+            yield {"part": name, "fit": field, **fitted(sizes, [line[field] for line in found])}
+    if "list_calls" in chosen:
+        for lost in (True, False):
+            for service_ms in (2.0, 13.0, 46.0, 130.0):
+                for relays in RELAYS:
+                    told = list_calls(relays, service_ms, lost, 33)
+                    yield {"part": "list_calls", "size": relays, "service_ms": service_ms, "lost": lost,
+                           "simulated": True, **told}  # fmt: skip
+
+
+def fitted(sizes: Iterable[int], values: list[float]) -> Line:
+    """A line through all sizes, and how it grows in truth."""
+    x = [float(size) for size in sizes]
+    line = fit(("1", "n"), [[1.0, n] for n in x], values)
+    power = exponent(x, values)
+    return {**line.to_json(), "exponent": [round(v, 3) for v in (power.value, power.low, power.high)]}
--- a/sageturn/lab/scale/plan.py
+++ b/sageturn/lab/scale/plan.py
@@ -15,6 +15,7 @@
 PROCESSES_MOST = 300
 MINUTES_MOST = 60.0
 DESCRIPTORS = 16000  # for one process; the system here allows 20,000
+CLIENTS_MOST = 4000  # three descriptors each in the run's own process, where hosts and clients stand
 # What a copy's entry of a preloaded record takes: its place in the dictionary, the record being shared.
 ENTRY_OCTETS = 130
 # Of one process before any member is in it, seen on Python 3.11 to 3.13.
@@ -69,6 +70,7 @@
     topology: str = "mesh"
     fanout: Annotated[int, Meta(ge=2)] = 8
     per_process: Annotated[int, Meta(ge=1)] = 24
+    clients: Annotated[int, Meta(ge=0, le=4000)] = 0  # standing at each real relay, a line every 2 s
     state_s: Annotated[float, Meta(ge=0)] = 0.0  # how often a hollow member tells of itself; 0: never
     faults: tuple[Fault, ...] = ()
     predict: bool = False  # reckoned from the smaller ones before it is played
@@ -99,10 +101,9 @@
 
 
 class Around(Struct, frozen=True, forbid_unknown_fields=True):
-    """What stands around the relays: live hosts on the list, clients of each real relay."""
+    """What stands around the relays: live hosts on the list, and how long discovery works on a call."""
 
     hosts: Annotated[int, Meta(ge=1, le=5000)] = 90
-    clients: Annotated[int, Meta(ge=0, le=2000)] = 0
     call_ms: Annotated[float, Meta(ge=0)] = 0.0  # discovery works so long on each call, one after another
 
 
@@ -139,6 +140,8 @@
                 raise ValueError(f"{key}: {value} must be one of {', '.join(known)}")
         if size.real > size.members:
             raise ValueError("real: must not be above members")
+        if size.real * size.clients > CLIENTS_MOST:
+            raise ValueError(f"clients: {CLIENTS_MOST} over all real relays at most")
         for number, fault in enumerate(size.faults):
             try:
                 fault.check()
--- a/sageturn/lab/scale/play.py
+++ b/sageturn/lab/scale/play.py
@@ -336,12 +336,13 @@
         for process in self.members:
             await process.ask(do="start")
         started_s = time.monotonic() - self._started_s
-        if self._real_addresses and x.around.clients:
-            self.clients = Clients(self._real_addresses, x.around.clients, self.seed)
+        if self._real_addresses and size.clients:
+            self.clients = Clients(self._real_addresses, size.clients, self.seed)
         listed = await self._listed(w.ready_s)
         linked_s = await self._linked(w.ready_s)
         if self.clients is not None:
             self.clients.start()
+            await self._stand(w.ready_s)
         await asyncio.sleep(w.settle_s)
         idle = await self._window(self._rest(w.idle_s))
         told = await self._told()
@@ -372,6 +373,14 @@
                 raise RuntimeError(f"{missing} of {len(told)} members have no list after {within_s:g} s")
             await asyncio.sleep(0.25)
 
+    async def _stand(self, within_s: float) -> None:
+        """Until all clients are served, or most of them for that time: what stands is told in the line."""
+        assert self.clients is not None
+        wanted = self.size.clients * len(self._real_addresses)
+        began_s = time.monotonic()
+        while self.clients.standing < wanted and time.monotonic() - began_s < within_s:
+            await asyncio.sleep(0.1)
+
     async def _linked(self, within_s: float) -> float | None:
         """Until every link that is laid down stands; None where members choose their own."""
         began_s = time.monotonic()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -18,10 +19,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from typer.testing import CliRunner
 
+from sageturn.cli.main import app
 from sageturn.lab.experiment import BadExperiment
 from sageturn.lab.runs import Results
-from sageturn.lab.scale import counting, members
+from sageturn.lab.scale import costs, counting, members
 from sageturn.lab.scale.counting import CountingSocket, Counts, owned
 from sageturn.lab.scale.fit import exponent, fit
 from sageturn.lab.scale.lanes import HELD_MOST, RTO_LEAST_S, SEGMENT, Forwarder, Lane, Pipe
@@ -72,6 +75,7 @@
         ('name = "x"\nbounds = {minutes = 0.1}\n[[sizes]]\nname = "a"\nmembers = 4', "sizes[0].faults:"),
         ('name = "x"\nzones = 1\n[[sizes]]\nname = "a"\nmembers = 4', "zones:"),
         ('name = "x"\nlanes = {loss = 2}\n[[sizes]]\nname = "a"\nmembers = 4', "`$.lanes.loss`"),
+        ('name = "x"\n[[sizes]]\nname = "a"\nmembers = 9\nreal = 9\nclients = 999', "sizes[0].clients:"),
     ],
 )
 def test_a_fault_in_an_experiment_names_its_file_and_key(tmp_path: Path, text: str, named: str) -> None:
@@ -503,6 +507,47 @@
     assert isinstance(found, Other) and made == [(store, place)]
 
 
+# ---------------------------------------------------------------- costs of single parts
+
+
+def test_each_part_is_measured_at_the_size_it_is_asked_for() -> None:
+    digest = costs.store_digest(30)
+    frame = json.dumps({"digest": costs.filled(30).digest()}, separators=(",", ":"))
+    assert digest["octets"] == len(frame) and digest["frame_part"] == pytest.approx(len(frame) / (4 << 20))
+    assert costs.store_memory(300)["kept"] == 300 and costs.store_memory(300)["octets"] > 300 * 100
+    log = costs.store_log(30)
+    assert log["octets"] > 30 * 50 and log["put_s"] > 0
+    copied = costs.operator_command(450)  # three frames
+    assert copied["kept"] == 450 and 0 < copied["copied_s"] <= copied["done_s"]
+    assert costs.list_reading(40)["octets"] > 40 * 100
+    assert costs.decisions(12)["sent"] == 1.0
+    assert costs.flow_record(9)["octets"] - costs.flow_record(8)["octets"] == 2, "class and tenant"
+
+
+def test_calls_for_the_list_pile_up_where_discovery_is_slower_than_they_come() -> None:
+    quick, slow = costs.list_calls(60, 2.0, True, 1), costs.list_calls(60, 130.0, True, 1)
+    assert quick["failed"] == 0 and quick["calls"] == 60 and quick["last_s"] < 2.0
+    assert slow["failed"] > 0 and slow["calls"] == 60 + slow["failed"] and slow["last_s"] > 60 * 0.13
+    assert costs.list_calls(60, 130.0, True, 1) == slow, "the same seed, the same day"
+
+
+def test_a_parts_lines_end_with_its_fits_and_an_unknown_part_is_named(tmp_path: Path) -> None:
+    lines = list(costs.run_costs(["flow_record"]))
+    assert [line.get("fit") for line in lines] == [None] * 4 + ["octets"]
+    assert lines[-1]["straight"] and lines[-1]["values"][1] == pytest.approx(2.0)
+    told = CliRunner().invoke(app, ["lab", "costs", "--out", str(tmp_path / "c"), "--only", "flows"])
+    assert told.exit_code == 2 and "only: flows" in told.stderr
+    kept = CliRunner().invoke(app, ["lab", "costs", "--out", str(tmp_path / "c"), "--only", "flow_record"])
+    assert kept.exit_code == 0
+    assert [json.loads(x)["part"] for x in (tmp_path / "c").read_text().splitlines()] == ["flow_record"] * 5
+
+
+def test_the_command_names_a_faulty_files_key(tmp_path: Path) -> None:
+    (tmp_path / "x.toml").write_text('name = "x"\n[[sizes]]\nname = "a"\nmembers = 4\nspread = "gossip"')
+    told = CliRunner().invoke(app, ["lab", "scale", str(tmp_path / "x.toml"), "--out", str(tmp_path / "o")])
+    assert told.exit_code == 2 and "sizes[0].spread" in told.stderr and not (tmp_path / "o").exists()
+
+
 # ---------------------------------------------------------------- whole runs
 
 
@@ -522,8 +567,8 @@
 def test_a_small_run_holds_every_change_everywhere_and_sends_no_more_than_it_should(tmp_path: Path) -> None:
     keys, interval_s = 50, 0.2
     experiment = ScaleExperiment(
-        "x", (Size("a", 5, keys=keys, real=1),), seeds=(7,), interval_s=interval_s, windows=SMALL,
-        lanes=Lanes(between_ms=2.0), around=Around(hosts=8, clients=2),
+        "x", (Size("a", 5, keys=keys, real=1, clients=2),), seeds=(7,), interval_s=interval_s, windows=SMALL,
+        lanes=Lanes(between_ms=2.0), around=Around(hosts=8),
     )  # fmt: skip
     experiment.check()
     line = asyncio.run(Play(experiment, experiment.sizes[0], 7, tmp_path).run())
