--- a/sageturn/lab/scale/report.py
+++ b/sageturn/lab/scale/report.py
@@ -12,7 +12,7 @@
 import matplotlib.pyplot as plt  # noqa: E402  (the backend is chosen first: there is no screen)
 
 from sageturn.lab.runs import Results  # noqa: E402
-from sageturn.lab.scale.results import TERMS, fits, usable, value  # noqa: E402
+from sageturn.lab.scale.results import fits, usable, value  # noqa: E402
 
 Line = dict[str, Any]
 
@@ -56,7 +56,7 @@
         for metric, slope in fits(results.runs, spread).items():
             parts = [
                 f"{v:.4g} a {t} ({a:.4g} to {b:.4g})"
-                for t, v, a, b in zip(TERMS, slope.values, slope.low, slope.high, strict=True)
+                for t, v, a, b in zip(slope.terms, slope.values, slope.low, slope.high, strict=True)
             ]
             straight = "straight" if slope.straight else "NOT straight"
             told.append(
--- a/sageturn/lab/scale/results.py
+++ b/sageturn/lab/scale/results.py
@@ -21,7 +21,7 @@
 Line = dict[str, Any]
 
 # What is fitted: a name, and where it stands in a line. Terms are those that reading the code suggests.
-TERMS = ("links", "links*keys")
+TERMS = ("links", "links*keys", "links*news")
 METRICS = {"octets": ("idle", "hollow", "octets"), "core": ("idle", "hollow", "core")}
 
 
@@ -34,9 +34,19 @@
 
 
 def terms(line: Line) -> list[float]:
-    """Of a member on average: its ends of links, and these times the keys."""
+    """Of a member on average: its ends of links, these times the keys, and times what all say of themselves
+    a second.
+    """
     ends = 2.0 * line["links"] / line["members"]
-    return [ends, ends * line["keys"]]
+    news = line["members"] / line["state_s"] if line["state_s"] else 0.0
+    return [ends, ends * line["keys"], ends * news]
+
+
+def told_apart(lines: list[Line]) -> list[int]:
+    """Which terms these sizes can tell from each other: one that never changes beside another is left out."""
+    keys = {line["keys"] for line in lines}
+    news = {line["members"] / line["state_s"] if line["state_s"] else 0.0 for line in lines}
+    return [0, *([1] if len(keys) > 1 else []), *([2] if len(news) > 1 else [])]
 
 
 def usable(line: Line) -> bool:
@@ -57,8 +67,10 @@
     for metric in METRICS:
         pairs = [(terms(line), v) for line in chosen if (v := value(line, metric))]
         if len({tuple(t) for t, _ in pairs}) >= SIZES_LEAST:
+            chosen_terms = told_apart(chosen)
+            rows = [[t[n] for n in chosen_terms] for t, _ in pairs]
             try:
-                found[metric] = fit(TERMS, [t for t, _ in pairs], [v for _, v in pairs])
+                found[metric] = fit([TERMS[n] for n in chosen_terms], rows, [v for _, v in pairs])
             except ValueError:
                 continue
     return found
@@ -66,10 +78,11 @@
 
 def predict(lines: Iterable[Line], size: Size) -> Line:
     """What a size that was not played yet should come to, if the smaller ones lie on lines."""
-    shaped = {"links": size.links, "members": size.members, "keys": size.keys}
+    shaped = {"links": size.links, "members": size.members, "keys": size.keys, "state_s": size.state_s}
+    row = dict(zip(TERMS, terms(shaped), strict=True))
     told: Line = {}
     for metric, line in fits(lines, size.spread).items():
-        middle, low, high = line.at(terms(shaped))
+        middle, low, high = line.at([row[term] for term in line.terms])
         told[metric] = {"value": middle, "low": low, "high": high, "fit": line.to_json()}
     return told
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -167,7 +167,7 @@
     phase = {"saturated": False, "hollow": used}
     last = {"last": spans([0.1, 0.2])}
     return {
-        "scenario": f"m{n}", "seed": 1, "spread": "digest", "members": n, "keys": keys,
+        "scenario": f"m{n}", "seed": 1, "spread": "digest", "members": n, "keys": keys, "state_s": 0.0,
         "links": n * (n - 1) / 2, "phases": {"idle": phase, "changes": {**phase, "changes": last}},
         "equal": {"all": True, "kinds": 1}, **more,
     }  # fmt: skip
@@ -190,6 +190,16 @@
     assert predict(lines[:3], size) == {}, "three sizes tell no slope"
 
 
+def test_sizes_that_tell_two_terms_not_apart_are_fitted_with_one() -> None:
+    lines = [run_line(n, 100, (n - 1) * 2700.0) for n in (4, 8, 16, 32)]
+    assert fits(lines, "digest")["octets"].terms == ("links",)
+    chatty = [run_line(n, 100, (n - 1) * (2700.0 + 190.0 * n / 5.0), state_s=5.0) for n in (4, 8, 16, 32)]
+    slope = fits(chatty, "digest")["octets"]
+    assert slope.terms == ("links", "links*news") and slope.values == pytest.approx((2700.0, 190.0))
+    told = predict(chatty, Size("m64", 64, keys=100, state_s=5.0))
+    assert told["octets"]["value"] == pytest.approx(63 * (2700.0 + 190.0 * 64 / 5.0))
+
+
 def test_reports_say_what_failed_what_was_held_up_and_how_straight_a_slope_is(tmp_path: Path) -> None:
     results = Results(tmp_path / "r.jsonl")
     results.start({"experiment": {"name": "x"}, "policies": {}, "revision": "abc"})
