Tell when a scale run's processes were held up within a window, or had no core

Cause: 64 members in a mesh took 8 s over a change in a burst, and the line's mean of 0.47 of a core told nothing of it.

--- a/sageturn/lab/scale/play.py
+++ b/sageturn/lab/scale/play.py
@@ -35,6 +35,8 @@
 Held = dict[str, dict[str, float]]
 
 FULL = 0.85  # of a core: a process that uses more is held up, and so are its figures
+FULL_AT_TIMES = 0.95  # the same within one second of a window
+LOOK_S = 1.0
 WATCH_S = 0.5
 HELD_S = 4.0  # within which a change has to be in force everywhere
 SECRET = "scale"  # nobody but this run's members is on its ports
@@ -93,7 +95,16 @@
 
     def cpu_s(self) -> float:
         """On a core since its start, of the main thread; the other one only reads a pipe."""
-        return int(Path(f"/proc/{self.pid}/schedstat").read_text().split()[0]) / 1e9
+        return self._schedule(0)
+
+    def waited_s(self) -> float:
+        """Ready to run since its start, and no core was free for it."""
+        return self._schedule(1)
+
+    def _schedule(self, field: int) -> float:
+        with suppress(OSError, IndexError):
+            return int(Path(f"/proc/{self.pid}/schedstat").read_text().split()[field]) / 1e9
+        return 0.0
 
     def resident(self) -> int:
         with suppress(OSError, IndexError):
@@ -127,6 +138,22 @@
             await self.child.wait()
 
 
+class Peaks:
+    """The most that one process, and that all together, used in any second of a window, in cores."""
+
+    def __init__(self) -> None:
+        self.one = self.all = 0.0
+
+    async def look(self, processes: Sequence[Process]) -> None:
+        before, at_s = [p.cpu_s() for p in processes], time.monotonic()
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now, now_s = [p.cpu_s() for p in processes], time.monotonic()
+            used = [(b - a) / (now_s - at_s) for a, b in zip(before, now, strict=True)]
+            self.one, self.all = max(self.one, *used), max(self.all, sum(used))
+            before, at_s = now, now_s
+
+
 def lane_name(experiment: ScaleExperiment, source: int, target: int) -> str:
     """Of zones, both ways the same."""
     low, high = min(source, target), max(source, target)
@@ -434,8 +461,14 @@
         """What the members used while ``during`` ran, a second and a member."""
         counts, cpu = self._counts(), [p.cpu_s() for p in self.members]
         lane_cpu = [p.cpu_s() for p in self.processes if not p.names]
+        waited_s = sum(p.waited_s() for p in self.processes)
         began_s = time.monotonic()
-        found = await during
+        peaks = Peaks()
+        looking = asyncio.ensure_future(peaks.look(self.processes))
+        try:
+            found = await during
+        finally:
+            looking.cancel()
         took_s = time.monotonic() - began_s
         after = [
             [new.since(old) for new, old in zip(news, olds, strict=True)]
@@ -450,6 +483,10 @@
             [p.job["role"] for p in self.members], after, used, took_s
         )
         line["lanes_core_most"] = round(max(lanes_used) / took_s, 4)
+        waited_s = sum(p.waited_s() for p in self.processes) - waited_s
+        line["waited"] = round(waited_s / max(1e-9, sum(used) + sum(lanes_used)), 3)
+        line["core_peak"], line["cores_peak"] = round(peaks.one, 3), round(peaks.all, 2)
+        line["saturated"] = line["saturated"] or peaks.one > FULL_AT_TIMES
         line["disk_octets_real"] = [p.written() for p in self.members if p.job["role"] == "real"]
         line["descriptors_real"] = [p.descriptors() for p in self.members if p.job["role"] == "real"]
         return line | ({"changes": found} if found is not None else {})
