Fit whole relays by their clients, and links over hollow and real members together

Cause: in a tree the first members are its hubs and the real ones; a mean of the hollow ones alone left the hubs out. Change: values are means over all members; a real relay's processor time and memory are fitted by its clients.

--- a/sageturn/lab/scale/play.py
+++ b/sageturn/lab/scale/play.py
@@ -378,7 +378,7 @@
             phases[f"{number}:{fault.kind}"] = await self._phase(fault)
         return {
             "members": size.members, "keys": size.keys, "real": size.real, "spread": size.spread,
-            "topology": size.topology, "state_s": size.state_s,
+            "topology": size.topology, "state_s": size.state_s, "clients_each": size.clients,
             "processes": len(self.processes), "started_s": round(started_s, 2),
             "linked_s": linked_s, "listed": listed, "links": told["links"] / 2, "memory": told["memory"],
             "phases": phases, "equal": await self._equal(), "discovery": self._discovery_told(),
--- a/sageturn/lab/scale/results.py
+++ b/sageturn/lab/scale/results.py
@@ -7,6 +7,7 @@
 import platform
 import signal
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -20,9 +21,9 @@
 
 Line = dict[str, Any]
 
-# What is fitted: a name, and where it stands in a line. Terms are those that reading the code suggests.
-TERMS = ("links", "links*keys", "links*news")
-METRICS = {"octets": ("idle", "hollow", "octets"), "core": ("idle", "hollow", "core")}
+# Terms are those that reading the code suggests: what a member's ends of links cost, and what clients do.
+LINK_TERMS = ("links", "links*keys", "links*news")
+CLIENT_TERMS = ("1", "clients")
 
 
 def head(experiment: ScaleExperiment, root: Path) -> Line:
@@ -33,20 +34,24 @@
     }  # fmt: skip
 
 
-def terms(line: Line) -> list[float]:
-    """Of a member on average: its ends of links, these times the keys, and times what all say of themselves
-    a second.
+def shape(line: Line) -> dict[str, float]:
+    """Every term of a run, or of one that is to come: of a member on average, its ends of links, these times
+    the keys, and times what all say of themselves a second.
     """
     ends = 2.0 * line["links"] / line["members"]
     news = line["members"] / line["state_s"] if line["state_s"] else 0.0
-    return [ends, ends * line["keys"], ends * news]
+    links = {"links": ends, "links*keys": ends * line["keys"], "links*news": ends * news}
+    return {**links, "1": 1.0, "clients": float(line["clients_each"])}
 
 
-def told_apart(lines: list[Line]) -> list[int]:
+def told_apart(lines: list[Line], terms: tuple[str, ...]) -> list[str]:
     """Which terms these sizes can tell from each other: one that never changes beside another is left out."""
-    keys = {line["keys"] for line in lines}
-    news = {line["members"] / line["state_s"] if line["state_s"] else 0.0 for line in lines}
-    return [0, *([1] if len(keys) > 1 else []), *([2] if len(news) > 1 else [])]
+    shapes = [shape(line) for line in lines]
+    found = [terms[0]]
+    for term in terms[1:]:
+        if len({round(s[term] / s[terms[0]], 9) for s in shapes}) > 1:
+            found.append(term)
+    return found
 
 
 def usable(line: Line) -> bool:
@@ -54,34 +59,62 @@
     return "failed" not in line and not line["phases"]["idle"]["saturated"] and line["links"] > 0
 
 
+def over_all(line: Line, field: str) -> float | None:
+    """Of hollow and real members together, at rest."""
+    counts = {"real": line["real"], "hollow": line["members"] - line["real"]}
+    idle = line["phases"]["idle"]
+    parts = [(n, idle[role][field]) for role, n in counts.items() if role in idle]
+    return float(sum(n * v for n, v in parts) / sum(n for n, _ in parts)) if parts else None
+
+
+def real_core(line: Line) -> float | None:
+    found = line["phases"]["idle"].get("real")
+    return float(found["core"]) if found and line["clients_each"] else None
+
+
+def real_mb(line: Line) -> float | None:
+    return float(line["memory"]["real_mb"][0]) if line["real"] and line["clients_each"] else None
+
+
+# What is fitted, by which terms, and how it is read from a line.
+METRICS: dict[str, tuple[tuple[str, ...], Callable[[Line], float | None]]] = {
+    "octets": (LINK_TERMS, lambda line: over_all(line, "octets")),
+    "core": (LINK_TERMS, lambda line: over_all(line, "core")),
+    "real_core": (CLIENT_TERMS, real_core),
+    "real_mb": (CLIENT_TERMS, real_mb),
+}
+
+
 def value(line: Line, metric: str) -> float | None:
-    phase, role, field = METRICS[metric]
-    found = line["phases"][phase].get(role)
-    return None if found is None else float(found[field])
+    return METRICS[metric][1](line)
 
 
 def fits(lines: Iterable[Line], spread: str) -> dict[str, Fit]:
     """Through all sizes of one spread that are usable; none under four sizes."""
     chosen = [line for line in lines if usable(line) and line["spread"] == spread]
     found = {}
-    for metric in METRICS:
-        pairs = [(terms(line), v) for line in chosen if (v := value(line, metric))]
-        if len({tuple(t) for t, _ in pairs}) >= SIZES_LEAST:
-            chosen_terms = told_apart(chosen)
-            rows = [[t[n] for n in chosen_terms] for t, _ in pairs]
-            try:
-                found[metric] = fit([TERMS[n] for n in chosen_terms], rows, [v for _, v in pairs])
-            except ValueError:
-                continue
+    for metric, (terms, _) in METRICS.items():
+        pairs = [(line, v) for line in chosen if (v := value(line, metric))]
+        if not pairs:
+            continue
+        kept = told_apart([line for line, _ in pairs], terms)
+        rows = [[shape(line)[term] for term in kept] for line, _ in pairs]
+        if len({tuple(row) for row in rows}) >= SIZES_LEAST:
+            with suppress(ValueError):
+                found[metric] = fit(kept, rows, [v for _, v in pairs])
     return found
 
 
 def predict(lines: Iterable[Line], size: Size) -> Line:
     """What a size that was not played yet should come to, if the smaller ones lie on lines."""
-    shaped = {"links": size.links, "members": size.members, "keys": size.keys, "state_s": size.state_s}
-    row = dict(zip(TERMS, terms(shaped), strict=True))
+    row = shape({
+        "links": size.links, "members": size.members, "keys": size.keys, "state_s": size.state_s,
+        "clients_each": size.clients,
+    })  # fmt: skip
     told: Line = {}
     for metric, line in fits(lines, size.spread).items():
+        if METRICS[metric][0] == CLIENT_TERMS and not size.clients:
+            continue
         middle, low, high = line.at([row[term] for term in line.terms])
         told[metric] = {"value": middle, "low": low, "high": high, "fit": line.to_json()}
     return told
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -32,7 +32,7 @@
 from sageturn.lab.scale.plan import Around, Bounds, Lanes, ScaleExperiment, Size, Windows, read_scale
 from sageturn.lab.scale.play import Play, lane_name, measured, peers_of, play, spans
 from sageturn.lab.scale.report import fit_lines, plot, table
-from sageturn.lab.scale.results import TERMS, fits, judged, predict
+from sageturn.lab.scale.results import fits, judged, over_all, predict
 from sageturn.net.admission import Admission, Limits
 from sageturn.store.replica import ReplicaOptions
 from sageturn.store.store import Store
@@ -167,8 +167,9 @@
     phase = {"saturated": False, "hollow": used}
     last = {"last": spans([0.1, 0.2])}
     return {
-        "scenario": f"m{n}", "seed": 1, "spread": "digest", "members": n, "keys": keys, "state_s": 0.0,
-        "links": n * (n - 1) / 2, "phases": {"idle": phase, "changes": {**phase, "changes": last}},
+        "scenario": f"m{n}", "seed": 1, "spread": "digest", "members": n, "keys": keys,
+        "state_s": 0.0, "real": 0, "clients_each": 0, "links": n * (n - 1) / 2,
+        "phases": {"idle": phase, "changes": {**phase, "changes": last}},
         "equal": {"all": True, "kinds": 1}, **more,
     }  # fmt: skip
 
@@ -200,6 +201,23 @@
     assert told["octets"]["value"] == pytest.approx(63 * (2700.0 + 190.0 * 64 / 5.0))
 
 
+def test_whole_relays_are_fitted_by_their_clients_and_all_members_by_their_links() -> None:
+    lines = []
+    for n in (250, 500, 1000, 2000):
+        line = run_line(2, 100, 2700.0, real=1, clients_each=n, memory={"real_mb": [30.0 + 0.04 * n]})
+        idle = line["phases"]["idle"]  # type: ignore[index]
+        idle["real"] = {"octets": 3700.0, "core": 0.003 + 6e-5 * n}
+        lines.append(line)
+    found = fits(lines, "digest")
+    assert found["real_core"].values == pytest.approx((0.003, 6e-5))
+    assert found["real_mb"].values == pytest.approx((30.0, 0.04))
+    assert "octets" not in found, "there is one size of links"
+    told = predict(lines, Size("c4000", 2, real=1, clients=4000))
+    assert told["real_mb"]["value"] == pytest.approx(190.0)
+    assert predict(lines, Size("c0", 2, real=1)) == {}
+    assert over_all(lines[0], "octets") == pytest.approx((2700.0 + 3700.0) / 2.0)
+
+
 def test_reports_say_what_failed_what_was_held_up_and_how_straight_a_slope_is(tmp_path: Path) -> None:
     results = Results(tmp_path / "r.jsonl")
     results.start({"experiment": {"name": "x"}, "policies": {}, "revision": "abc"})
@@ -209,7 +227,7 @@
     rows = table(results)
     assert len(rows) == 1 + 4 * 2 + 1 and {len(r) for r in rows} == {17}
     assert rows[-1][-1].startswith("Overrun")
-    assert any("straight" in text and TERMS[0] in text for text in fit_lines(results))
+    assert any("straight" in text and "a links*keys" in text for text in fit_lines(results))
     plot(results, tmp_path / "p.png")
     assert (tmp_path / "p.png").read_bytes().startswith(b"\x89PNG")
 
