--- a/sageturn/lab/scale/report.py
+++ b/sageturn/lab/scale/report.py
@@ -18,6 +18,7 @@
 
 # The operators' allowance for control, for each relay.
 OCTETS_GOAL, CORE_GOAL, HELD_GOAL_S = 27_000.0, 0.03, 4.0
+NEVER_S = 30.0  # where a plot shows what never came
 
 
 def _shown(number: float | None, form: str = ".3g") -> str:
@@ -80,6 +81,7 @@
     of keys and spread, and the operators' allowance."""
     figure, axes = plt.subplots(1, 3, figsize=(14, 4.2), layout="constrained")
     sound = [line for line in results.runs if usable(line)]
+    sizes = sorted({line["members"] for line in sound})
     series = sorted({(line["spread"], line["keys"]) for line in sound})
     for number, (spread, keys) in enumerate(series):
         lines = sorted((ln for ln in sound if (ln["spread"], ln["keys"]) == (spread, keys)),
@@ -90,9 +92,11 @@
             if points:
                 axis.plot(*zip(*points, strict=True), marker=mark, label=label)
         held = [(ln["members"], ln["phases"]["changes"]["changes"]["last"].get("p99")) for ln in lines]
-        held = [(n, p) for n, p in held if p]
-        if held:
-            axes[2].plot(*zip(*held, strict=True), marker=mark, label=label)
+        came = [(n, p) for n, p in held if p]
+        if came:
+            axes[2].plot(*zip(*came, strict=True), marker=mark, label=label)
+        for members in (n for n, p in held if not p):
+            axes[2].plot([members], [NEVER_S], marker="x", color="r", label=f"not held at the end: {label}")
     titles = (
         ("control, octets a second a member, idle", OCTETS_GOAL),
         ("control, part of a core, idle", CORE_GOAL),
@@ -101,6 +105,8 @@
     for axis, (title, goal) in zip(axes, titles, strict=True):
         axis.axhline(goal, color="k", linestyle="--", linewidth=1)
         axis.set(title=title, xscale="log", yscale="log", xlabel="members")
+        axis.set_xticks(sizes, [str(n) for n in sizes], fontsize=7)
+        axis.minorticks_off()
         if axis.lines[1:]:
             axis.legend(fontsize=7)
     figure.suptitle(f"{results.head['experiment']['name']}, revision {results.head['revision']}; measured "
