Give the small scale run more time against a busy machine, with the same bounds

Cause: links give each other up after four intervals of silence; 0.8 s of that is soon over on busy cores. Change: an interval of 0.5 s; octets, messages and steps are bounded as before.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -37,7 +37,7 @@
 from sageturn.store.replica import ReplicaOptions
 from sageturn.store.store import Store
 
-SMALL = Windows(settle_s=0.6, idle_s=0.8, changes=6, changes_s=0.4, tail_s=0.6, ready_s=20.0)
+SMALL = Windows(settle_s=1.0, idle_s=1.2, changes=6, changes_s=0.4, tail_s=1.5, ready_s=30.0)
 
 # ---------------------------------------------------------------- experiment files
 
@@ -593,7 +593,7 @@
 
 
 def test_a_small_run_holds_every_change_everywhere_and_sends_no_more_than_it_should(tmp_path: Path) -> None:
-    keys, interval_s = 50, 0.2
+    keys, interval_s = 50, 0.5
     experiment = ScaleExperiment(
         "x", (Size("a", 5, keys=keys, real=1, clients=2),), seeds=(7,), interval_s=interval_s, windows=SMALL,
         lanes=Lanes(between_ms=2.0), around=Around(hosts=8),
