Keep the spread of digests in the lab, so that what follows it is measured beside it

Cause: a spread that takes its place in the store would leave nothing to compare with, in the same run.

--- a/sageturn/lab/scale/costs.py
+++ b/sageturn/lab/scale/costs.py
@@ -9,33 +9,37 @@
 import asyncio
 import gc
 import json
+import threading
 import time
 import tracemalloc
 from collections.abc import Callable, Iterable, Iterator
+from concurrent.futures import Future
+from importlib.util import find_spec
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
 from typing import Any
 
 from sageturn import interface as api
+from sageturn.cli.link import Reach
 from sageturn.core.endings import Ending
 from sageturn.core.messages import Ask
 from sageturn.core.requests import Record as Ended
 from sageturn.flows.exporter import to_flow
+from sageturn.lab.scale.digests import DIGEST_MOST, LinkOptions, missing_from
 from sageturn.lab.scale.fit import exponent, fit
-from sageturn.lab.scale.members import preload
+from sageturn.lab.scale.members import Place, make_spreader, preload
 from sageturn.net.admission import Admission, Limits
 from sageturn.net.discovery import read_listed
 from sageturn.rules import Balancer
 from sageturn.shares import CallPace
-from sageturn.store.frames import FRAME_MOST
-from sageturn.store.replica import Replica, ReplicaOptions, connected
+from sageturn.store.frames import read_secret
 from sageturn.store.store import Store
 
 Line = dict[str, Any]
 
 REPEATS = 5
-SECRET = b"x" * 32
+SECRET = "costs"
 PATIENCE_MS = 3000.0  # after which discovery fails a call
 
 
@@ -83,12 +87,12 @@
 
     def compare() -> None:
         told = {str(k): (int(v[0]), str(v[1])) for k, v in json.loads(text)["digest"].items()}
-        store.missing_from(told)
+        missing_from(store, told)
         mine = store.digest()
         all(k in mine and mine[k] >= order for k, order in told.items())
 
     return {"octets": len(text), "write_s": least_s(write), "compare_s": least_s(compare),
-            "frame_part": len(text) / FRAME_MOST}  # fmt: skip
+            "frame_part": len(text) / DIGEST_MOST}  # fmt: skip
 
 
 def store_log(keys: int) -> Line:
@@ -109,21 +113,41 @@
 
 def operator_command(keys: int) -> Line:
     """``sageturn store --connect``: a copy for a moment. In one process, so both sides' work is in it."""
-    async def go() -> Line:
-        admission = Admission(Limits(1024, 1024.0))
-        replica = Replica(filled(keys), ReplicaOptions(("127.0.0.1", 0), (), SECRET), admission)
-        replica.start()
-        try:
+    ready: Future[tuple[str, int]] = Future()
+    over = threading.Event()
+
+    async def serve() -> None:
+        loop = asyncio.get_running_loop()
+        # The spread that the command speaks is the program's own.
+        spread = "delta" if find_spec("sageturn.store.spread") else "digest"
+        options = LinkOptions(("127.0.0.1", 0), (), read_secret(SECRET))
+        place = Place("r0001", "z0", "g0")
+        spreader = make_spreader(spread, filled(keys), options, Admission(Limits(1024, 1024.0)), place)
+        spreader.start()
+        ready.set_result(spreader.address)
+        await loop.run_in_executor(None, over.wait)
+        await spreader.stop()
+
+    thread = threading.Thread(target=asyncio.run, args=(serve(),))
+    thread.start()
+    try:
+        with TemporaryDirectory(prefix="sageturn-costs-") as folder:
+            secret = Path(folder) / "secret"
+            secret.write_text(SECRET, encoding="utf-8")
+            host, port = ready.result(60.0)
             began_s = time.perf_counter()
-            async with connected(replica.address, SECRET, 60.0) as store:
-                there_s = time.perf_counter() - began_s
-                kept = len(store.keys())
-                store.put("change", 1)
-            return {"copied_s": there_s, "done_s": time.perf_counter() - began_s, "kept": kept}
-        finally:
-            await replica.stop()
-
-    return asyncio.run(go())
+            there_s, kept = Reach(f"{host}:{port}", secret).act(_look)
+            done_s = time.perf_counter()
+            return {"copied_s": there_s - began_s, "done_s": done_s - began_s, "kept": kept}
+    finally:
+        over.set()
+        thread.join()
+
+
+async def _look(store: Store) -> tuple[float, int]:
+    there_s, kept = time.perf_counter(), len(store.keys())
+    store.put("change", 1)
+    return there_s, kept
 
 
 # ---------------------------------------------------------------- list, module, flows
--- a/sageturn/lab/scale/members.py
+++ b/sageturn/lab/scale/members.py
@@ -9,6 +9,8 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from importlib import import_module
+from random import Random
 from typing import TYPE_CHECKING, Any, Protocol
 
 from sageturn.core.clock import Clock
@@ -17,11 +19,11 @@
 from sageturn.core.module import ModuleActor
 from sageturn.core.tasks import end_task
 from sageturn.lab.scale.counting import owned, owning
+from sageturn.lab.scale.digests import DigestSpread, LinkOptions
 from sageturn.net.admission import Admission, Limits
 from sageturn.net.discovery import DiscoveryClient
 from sageturn.settings import read_settings
 from sageturn.store.records import Record
-from sageturn.store.replica import Replica, ReplicaOptions
 from sageturn.store.store import Store
 
 if TYPE_CHECKING:
@@ -44,36 +46,53 @@
 class Spreader(Protocol):
     """Whatever keeps a store's copy and the others' the same."""
 
+    address: tuple[str, int]
+
     def start(self) -> None: ...
 
     async def stop(self) -> None: ...
 
 
-def _digest(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Spreader:
-    return Replica(store, options, admission)
+def _digest(store: Store, options: LinkOptions, admission: Admission, place: Place) -> Spreader:
+    return DigestSpread(store, options, admission)
 
 
-def _delta(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Spreader:
+def _delta(store: Store, options: LinkOptions, admission: Admission, place: Place) -> Spreader:
+    """What follows it, where the program has it: not every program that is measured does."""
     try:
-        from sageturn.store.spread import make_spreader  # type: ignore[import-not-found]
+        member = import_module("sageturn.store.spread.member")
+        settled = import_module("sageturn.store.spread.options").SpreadOptions(
+            options.listen, options.peers, options.secret, region=place.region, zone=place.zone
+        )
     except ImportError:
         raise ValueError("spread: delta is not in this program") from None
-    made: Spreader = make_spreader(store, options, admission, place.name, place.zone, place.region)
+    made: Spreader = member.Node(store, settled, admission, Random(f"scale/{place.name}"))
     return made
 
 
-SPREADS: dict[str, Callable[[Store, ReplicaOptions, Admission, Place], Spreader]] = {
+SPREADS: dict[str, Callable[[Store, LinkOptions, Admission, Place], Spreader]] = {
     "digest": _digest, "delta": _delta,
 }  # fmt: skip
 
 
 def make_spreader(
-    spread: str, store: Store, options: ReplicaOptions, admission: Admission, place: Place
+    spread: str, store: Store, options: LinkOptions, admission: Admission, place: Place
 ) -> Spreader:
     """The one place where a run's key ``spread`` becomes code. Raises ValueError where it is not there."""
     return SPREADS[spread](store, options, admission, place)
 
 
+def link_options(job: dict[str, Any], whole: dict[str, Any]) -> LinkOptions:
+    return LinkOptions(
+        ("127.0.0.1", job["port"]), tuple(("127.0.0.1", port) for port in job["peers"]),
+        bytes.fromhex(whole["secret"]), whole["interval_s"],
+    )  # fmt: skip
+
+
+def place_of(job: dict[str, Any]) -> Place:
+    return Place(job["name"], job["zone"], job["region"])
+
+
 def preload(keys: int) -> list[Record]:
     """What stands in every copy from the start: a shard's placement each."""
     return [
@@ -129,15 +148,10 @@
         if wipe:
             self._fresh([])
         job, whole = self._job, self._whole
-        options = ReplicaOptions(
-            ("127.0.0.1", job["port"]), tuple(("127.0.0.1", port) for port in job["peers"]),
-            bytes.fromhex(whole["secret"]), whole["interval_s"],
-        )  # fmt: skip
         self.admission = Admission(Limits(DESCRIPTORS, MEMORY_MB))
         with owned(job["row"], "store"):
             self.spreader = make_spreader(
-                whole["spread"], self.store, options, self.admission,
-                Place(self.name, job["zone"], job["region"]),
+                whole["spread"], self.store, link_options(job, whole), self.admission, place_of(job)
             )  # fmt: skip
             self.spreader.start()
         with owned(job["row"], "list"):
@@ -172,7 +186,7 @@
                 "standing": 50_000 + count, "ended": {"ok": count}, "flows_dropped": 0, "reports_dropped": {},
             }  # fmt: skip
             self.store.put(f"state/{self.name}/relay", state)
-            await asyncio.sleep(every_s)
+            await asyncio.sleep(max(every_s, getattr(self.spreader, "state_every_s", 0.0)))
 
     async def stop(self) -> None:
         """As a process that dies: sockets closed, nobody told."""
@@ -189,16 +203,21 @@
 
 
 class RealMember:
-    """A whole relay, seen through the same words as a hollow member."""
-
-    def __init__(self, relay: Relay, row: int) -> None:
-        assert relay.replica is not None
+    """A whole relay, seen through the same words as a hollow member, and with the spread that is measured."""
+
+    def __init__(self, relay: Relay, job: dict[str, Any], whole: dict[str, Any]) -> None:
+        row = job["row"]
+        with owned(row, "store"):
+            spreader = make_spreader(
+                whole["spread"], relay.store, link_options(job, whole), relay.admission, place_of(job)
+            )
+        vars(relay)["replica"] = spreader  # in the place of its own, which the operator's file leaves out
         self.name: str = relay.store.node
         self.store: Store = relay.store
         self.witness = Witness(self.store, {})
-        self.spreader: Spreader = relay.replica
+        self.spreader = spreader
         self.running, self.listed_s, self.lists, self.lists_failed = True, 0.0, 0, 0
-        relay.replica.start = owning(row, "store", relay.replica.start)  # type: ignore[method-assign]
+        vars(spreader)["start"] = owning(row, "store", spreader.start)
         relay.discovery.start = owning(row, "list", relay.discovery.start)  # type: ignore[method-assign]
         hear = relay.destinations.hear
 
--- a/sageturn/lab/scale/play.py
+++ b/sageturn/lab/scale/play.py
@@ -266,7 +266,6 @@
     def _add_real(self, job: Line, whole: Line, routes: dict[int, int], member: int) -> None:
         folder = self.folder / job["name"]
         folder.mkdir()
-        (folder / "secret").write_text(SECRET, encoding="utf-8")
         held, port = reserve_port()
         self._reserved.append(held)
         config = {
@@ -274,13 +273,7 @@
             "discovery": "{}:{}".format(*self.discovery.address), "seed": f"{job['seed']:x}",
             "limits": {"sockets": 16384, "memory_mb": 1024}, "settings": job["settings"],
         }  # fmt: skip
-        operator = {
-            "store": {
-                "path": "store", "listen": f"127.0.0.1:{job['port']}", "secret_file": "secret",
-                "peers": [f"127.0.0.1:{peer}" for peer in job["peers"]],
-                "interval_s": self.experiment.interval_s,
-            }
-        }
+        operator = {"store": {"path": "store"}}  # its links are made by the lab, as those of hollow members
         for name, what in (("config.json", config), ("operator.json", operator)):
             (folder / name).write_text(json.dumps(what), encoding="utf-8")
         self._real_addresses.append(("127.0.0.1", port))
--- a/sageturn/lab/scale/process.py
+++ b/sageturn/lab/scale/process.py
@@ -119,7 +119,7 @@
     settled = config.load({"GW_CONFIG": job["config"]}, job["operator"])
     relay = Relay(settled)
     relay.store.merge(preload(job["whole"]["keys"]))
-    seat = RealMember(relay, member["row"])
+    seat = RealMember(relay, member, job["whole"])
     gc.freeze()
     running: asyncio.Task[None] | None = None
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -26,6 +26,7 @@
 from sageturn.lab.runs import Results
 from sageturn.lab.scale import costs, counting, members
 from sageturn.lab.scale.counting import CountingSocket, Counts, owned
+from sageturn.lab.scale.digests import LinkOptions
 from sageturn.lab.scale.fit import exponent, fit
 from sageturn.lab.scale.lanes import HELD_MOST, RTO_LEAST_S, SEGMENT, Forwarder, Lane, Pipe
 from sageturn.lab.scale.members import Place, Witness, make_spreader, preload, store_hash
@@ -34,7 +35,6 @@
 from sageturn.lab.scale.report import fit_lines, plot, table
 from sageturn.lab.scale.results import fits, judged, over_all, predict
 from sageturn.net.admission import Admission, Limits
-from sageturn.store.replica import ReplicaOptions
 from sageturn.store.store import Store
 
 SMALL = Windows(settle_s=1.0, idle_s=1.2, changes=6, changes_s=0.4, tail_s=1.5, ready_s=30.0)
@@ -520,17 +520,19 @@
     made = []
 
     class Other:
+        address = ("127.0.0.1", 0)
+
         def start(self) -> None: ...
 
         async def stop(self) -> None: ...
 
-    def make(store: Store, options: ReplicaOptions, admission: Admission, place: Place) -> Other:
+    def make(store: Store, options: LinkOptions, admission: Admission, place: Place) -> Other:
         made.append((store, place))
         return Other()
 
     monkeypatch.setitem(members.SPREADS, "other", make)
     store, place = Store("a"), Place("a", "z0", "g0")
-    options = ReplicaOptions(("127.0.0.1", 0), (), b"")
+    options = LinkOptions(("127.0.0.1", 0), (), b"")
     found = make_spreader("other", store, options, Admission(Limits(64, 64.0)), place)
     assert isinstance(found, Other) and made == [(store, place)]
 
