--- a/sageturn/lab/scale/costs.py
+++ b/sageturn/lab/scale/costs.py
@@ -145,7 +145,7 @@
 
 
 async def _look(store: Store) -> tuple[float, int]:
-    there_s, kept = time.perf_counter(), len(store.keys())
+    there_s, kept = time.perf_counter(), len(store.keys("shards/"))
     store.put("change", 1)
     return there_s, kept
 
