--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -30,7 +30,7 @@
 from sageturn.lab.scale.fit import exponent, fit
 from sageturn.lab.scale.lanes import HELD_MOST, RTO_LEAST_S, SEGMENT, Forwarder, Lane, Pipe
 from sageturn.lab.scale.members import Place, Witness, make_spreader, preload, store_hash
-from sageturn.lab.scale.plan import Around, Bounds, Lanes, ScaleExperiment, Size, Windows, read_scale
+from sageturn.lab.scale.plan import Around, Bounds, Fault, Lanes, ScaleExperiment, Size, Windows, read_scale
 from sageturn.lab.scale.play import Play, lane_name, measured, peers_of, play, spans
 from sageturn.lab.scale.report import fit_lines, plot, table
 from sageturn.lab.scale.results import fits, judged, over_all, predict
@@ -623,6 +623,34 @@
     assert left_behind(tmp_path) == []
 
 
+def test_each_fault_is_struck_and_over_and_all_copies_are_equal_after(tmp_path: Path) -> None:
+    faults = (
+        Fault("kill", length_s=0.5, part=0.3, wipe=True, after_s=0.5),
+        Fault("cut", length_s=1.0, after_s=0.3), Fault("loss", length_s=0.3, part=0.2, after_s=0.3),
+        Fault("zone", length_s=0.3, after_s=0.3), Fault("restart", length_s=0.5, after_s=0.3),
+        Fault("discovery", length_s=0.3, after_s=2.0),
+    )  # fmt: skip
+    experiment = ScaleExperiment(
+        "x", (Size("a", 10, keys=20, faults=faults),), seeds=(7,), interval_s=0.5,
+        windows=msgspec.structs.replace(SMALL, changes=20), lanes=Lanes(between_ms=2.0),
+        around=Around(hosts=8),
+    )  # fmt: skip
+    line = asyncio.run(Play(experiment, experiment.sizes[0], 7, tmp_path).run())
+    phases = line["phases"]
+    assert list(phases)[2:] == ["0:kill", "1:cut", "2:loss", "3:zone", "4:restart", "5:discovery"]
+    for name, phase in phases.items():
+        if name != "idle":
+            assert phase["changes"]["last"]["never"] == 0, name
+    assert phases["0:kill"]["changes"]["back"]["n"] == 3, "a third of ten, who all missed something"
+    assert phases["3:zone"]["changes"]["back"]["n"] <= 2, "those of the last of five zones"
+    cut = phases["1:cut"]["changes"]
+    assert cut["last"]["worst"] > 5 * cut["last_on_its_side"]["p50"], "the other side has to wait"
+    assert phases["5:discovery"]["changes"]["listed"]["n"] == 10
+    assert phases["5:discovery"]["changes"]["listed"]["never"] == 0
+    assert line["discovery"]["calls"] >= 20 and line["equal"]["all"]
+    assert left_behind(tmp_path) == []
+
+
 def test_a_run_over_its_bound_is_ended_and_says_so(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
     tight = ScaleExperiment("x", (Size("a", 3),), windows=SMALL, bounds=Bounds(memory_gb=0.01))
