--- a/sageturn/lab/scale/costs.py
+++ b/sageturn/lab/scale/costs.py
@@ -21,18 +21,19 @@
 from typing import Any
 
 from sageturn import interface as api
+from sageturn.backoff import CallBackoff
 from sageturn.cli.link import Reach
 from sageturn.core.endings import Ending
 from sageturn.core.messages import Ask
 from sageturn.core.requests import Record as Ended
 from sageturn.flows.exporter import to_flow
+from sageturn.interface import ListFailure
 from sageturn.lab.scale.digests import DIGEST_MOST, LinkOptions, missing_from
 from sageturn.lab.scale.fit import exponent, fit
 from sageturn.lab.scale.members import Place, make_spreader, preload
 from sageturn.net.admission import Admission, Limits
 from sageturn.net.discovery import read_listed
 from sageturn.rules import Balancer
-from sageturn.shares import CallPace
 from sageturn.store.frames import read_secret
 from sageturn.store.store import Store
 
@@ -225,7 +226,7 @@
     """
     import heapq
 
-    paces = [CallPace(relays, 700.0, 10_000.0, Random(seed * 10_000 + k)) for k in range(relays)]
+    paces = [CallBackoff(relays, 10_000.0, Random(seed * 10_000 + k)) for k in range(relays)]
     events: list[tuple[float, int, str, int, int]] = []
     order = calls = failed = 0
 
@@ -235,7 +236,7 @@
         heapq.heappush(events, (due_ms, order, what, relay, call))
 
     for relay, pace in enumerate(paces):
-        at(pace.lost_ms(0.0) if lost else pace.first_ms(), "call", relay, 0)
+        at(pace.wait_ms(0.0, ListFailure.SILENT) if lost else pace.first_ms(), "call", relay, 0)
     free_ms, told, over = 0.0, dict[int, float](), set[int]()
     asked: list[float] = []
     while events and len(told) < relays:
@@ -253,7 +254,7 @@
                 paces[relay].succeeded()
             else:
                 failed += 1
-                at(now_ms + paces[relay].failed_ms(), "call", relay, 0)
+                at(now_ms + paces[relay].wait_ms(now_ms, ListFailure.OVERLOADED), "call", relay, 0)
     times = sorted(told.values())
     busiest = max(sum(a <= t < a + 1000.0 for t in asked) for a in asked[:relays])
     return {
