--- /dev/null
+++ b/sageturn/store/spread/overlay.py
@@ -0,0 +1,526 @@
+"""Who links to whom: a tree over the members seen, worked out by each for itself. No I/O, no clock.
+
+Every member has a place in one order of all, a hash of its region, zone and name. Each keeps one link to a
+member before it: inside its zone as long as one there can be reached, else in a zone before it in its region,
+else in a region before it. Nobody can close a circle that way, only the first of all has no link upwards, and
+one link crosses between zones or regions where one does. The order needs no agreement: members whose views
+differ only choose differently among those before them.
+
+What the order cannot mend, since a member can't tell a dead one from one that only it cannot reach, beacons
+do. The first of those linked together, their root, sends a beat, which goes on over all links, and the links
+that it came by count up how many there are (as switches find their root in the spanning tree protocol, IEEE
+802.1D). Where these are fewer than the members seen, the root looks for others now and then, and the rest
+seldom; such a link, a bridge, is kept while it is anyone's way to the root.
+
+Times are seconds of a monotonic clock that the caller passes in. ``docs/design/overlay.md`` says why so.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import lru_cache
+from hashlib import blake2b
+from itertools import zip_longest
+from random import Random
+
+Address = tuple[str, int]
+
+MEMBER, SUPERSEDED, REMOVED = "member", "superseded", "removed"  # a member's standing
+FULL, SAME_NAME = "full", "same name"  # reasons of a refusal, as is SUPERSEDED
+
+START_S = 4.0  # a member that knows only seeds waits up to so long, lest a fleet's start fall on them at once
+SPREAD_S = 0.5  # and one that knows the others so long
+HEDGE_S, HEDGES = 0.25, 4  # without a way up: another dial after so long, and so many at once
+RETRY_S, RETRY_MOST_S = 1.0, 15.0  # a suspect is tried again after
+FLAPS, FLAP_S, FLAP_MOST_S = 3, 5.0, 120.0  # one that was lost so often is left alone for longer, new or not
+BUSY_S, BUSY_MOST_S = 2.0, 120.0  # one that was full is asked again after
+CALM_S = 60.0  # a link that stood so long clears its member's record of failures
+FORGET_S = 600.0  # and so does time
+UPGRADE_S = 5.0  # a better place is taken within
+LOOK_S, LOOK_MOST_S = 0.25, 15.0  # a root that may not be the only one looks for others each
+LOOK_REST_S, LOOK_EACH_S = 60.0, 4.0  # the rest look so seldom on average, and longer by so much a member
+FIRST_LOOKS = 3  # a root that has just started looks so often in any case
+STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
+STRANGER_S = 10.0  # a link whose member is in no view is closed after
+DIAL_S = 30.0  # a dial without an answer counts as failed after
+BEAT_S, FRESH_S = 1.0, 5.0  # a root's beat, and how long one is believed
+HEADS, TRIES = 4, 48  # an orphan tries so many of a wider circle before the rest of a nearer; so many in all
+ROOTS = 64  # whose beats are remembered
+INSTEAD = 8  # members named in a refusal
+ASK_S = 1.0  # ``next_at`` is never later
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    name: str
+    address: Address
+    region: str
+    zone: str
+    incarnation: int  # of two with one name the larger counts
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    reason: str  # FULL, SAME_NAME or SUPERSEDED
+    instead: tuple[Member, ...] = ()  # others to turn to
+
+
+@dataclass(frozen=True, slots=True)
+class Beacon:
+    """What a link's heartbeat says of the root: the first member of those that are linked together."""
+
+    rank: int  # the root's place in the order of all
+    incarnation: int  # the root's
+    beat: int  # of that incarnation
+    port: bool  # this link is the sender's way to the root; rank and beat are then its own
+    count: int  # members behind this link if it is the sender's way, else all together as the root counts
+
+
+@dataclass(slots=True)
+class _Link:
+    since: float
+    dialled: bool
+    told: Beacon | None = None
+    spare_since: float | None = None  # needed by neither side since
+    patience: float = 0.0
+
+
+@dataclass(slots=True)
+class _Suspect:
+    failures: int = 0
+    losses: int = 0
+    refusals: int = 0
+    until: float = 0.0
+    at: float = 0.0
+
+
+@dataclass(slots=True)
+class _Places:
+    """Whom to link to, from one view."""
+
+    best: list[str]  # all before one, the best first
+    tries: list[str]  # the first of these in the order in which an orphan tries them
+    position: dict[str, int]
+    circle: dict[str, int]  # 0 for one's zone, 1 for the region, 2 for beyond
+
+
+def _number(*parts: str) -> int:
+    return int.from_bytes(blake2b("\0".join(parts).encode(), digest_size=8).digest(), "big")
+
+
+@lru_cache(maxsize=1 << 16)
+def rank_of(region: str, zone: str = "", name: str = "") -> int:
+    """The place in the order of all, 128 bits: the region's, the zone's in it, the member's in that."""
+    return (
+        _number(region) >> 32 << 96 | _number(region, zone) >> 32 << 64 | _number(region, zone, name)
+    )
+
+
+@lru_cache(maxsize=1 << 17)
+def _weight(one: str, other: str) -> int:
+    return _number(one, other)
+
+
+def before(ordered: Sequence[str], index: int, fanout: int) -> list[str]:
+    """Those before ``ordered[index]``, as it prefers them.
+
+    The order is cut into levels of 1, fanout, fanout squared and so on. First come those of the level above,
+    then the levels above that, then those before it on its own; within a level by rendezvous hashing, so that
+    one more or less moves few, and those of a dead hub spread over its equals.
+    """
+    starts = [0]
+    while (start := starts[-1] * fanout + 1) <= index:
+        starts.append(start)
+    bounds = [(starts[at - 1], starts[at]) for at in range(len(starts) - 1, 0, -1)] + [(starts[-1], index)]
+    own = ordered[index]
+    return [
+        name
+        for first, end in bounds
+        for name in sorted(ordered[first:end], key=lambda other: _weight(own, other))
+    ]
+
+
+def _in_turn(lists: Sequence[Sequence[str]]) -> list[str]:
+    """The first of each, then the second of each and so on."""
+    return [name for names in zip_longest(*lists) for name in names if name is not None]
+
+
+def places(own: Member, members: Mapping[str, Member], fanout: int) -> _Places:
+    """Whom ``own`` prefers of the others. A pure function of the view."""
+    zones: dict[tuple[str, str], list[Member]] = {(own.region, own.zone): [own]}
+    for member in members.values():
+        zones.setdefault((member.region, member.zone), []).append(member)
+    names = {
+        where: [m.name for m in sorted(some, key=lambda m: rank_of(m.region, m.zone, m.name))]
+        for where, some in zones.items()
+    }
+
+    def zones_of(region: str) -> list[str]:
+        return sorted((z for r, z in names if r == region), key=lambda z: rank_of(region, z))
+
+    mine = names[own.region, own.zone]
+    regions = sorted({region for region, _ in names}, key=rank_of)
+    near = zones_of(own.region)
+    circles = [
+        before(mine, mine.index(own.name), fanout),
+        _in_turn([names[own.region, zone] for zone in before(near, near.index(own.zone), fanout)]),
+        _in_turn(
+            [
+                _in_turn([names[region, zone] for zone in zones_of(region)])
+                for region in before(regions, regions.index(own.region), fanout)
+            ]
+        ),
+    ]
+    best = [name for circle in circles for name in circle]
+    heads = [circles[0][:fanout], circles[1][:HEADS], circles[2][:HEADS]]
+    rest = [circle[len(head) :] for circle, head in zip(circles, heads, strict=True)]
+    tries = [name for part in heads + rest for name in part][:TRIES]
+    return _Places(
+        best,
+        tries,
+        {name: at for at, name in enumerate(best)},
+        {name: at for at, circle in enumerate(circles) for name in circle},
+    )
+
+
+class Overlay:
+    """One member's part. ``fanout`` is how many others a hub carries on average, and at most four times that.
+
+    Raises ValueError for a fanout under 2.
+    """
+
+    def __init__(self, own: Member, seeds: Sequence[Address], rng: Random, fanout: int = 8) -> None:
+        if fanout < 2:
+            raise ValueError(f"fanout: {fanout} is under 2")
+        self.own, self._rng, self.fanout = own, rng, fanout
+        self.in_most = 4 * fanout
+        self.standing = MEMBER
+        self._rank = rank_of(own.region, own.zone, own.name)
+        self._seeds = [seed for seed in dict.fromkeys(seeds) if seed != own.address]
+        self._members: dict[str, Member] = {}  # the others
+        self._names: dict[Address, str] = {}
+        self._hints: set[Address] = set()
+        self._enlisted = False  # the view has held this member
+        self._places: _Places | None = None
+        self._links: dict[str, _Link] = {}
+        self._known: set[str] = set()  # linked, and in a view since
+        self._dialling: dict[Address, float] = {}
+        self._suspects: dict[Address, _Suspect] = {}
+        self._beats: dict[int, tuple[tuple[int, int], float]] = {}  # by root: the last, and when it came
+        self._started = False
+        self._orphan_at = 0.0
+        self._upgrade_at: float | None = None
+        self._look_at: float | None = None
+        self._look_wait, self._looks = LOOK_S, 0
+
+    # What is told
+
+    def saw(self, members: Iterable[Member]) -> None:
+        """The whole membership as the store has it now, without those removed."""
+        seen = {member.name: member for member in members}
+        mine = seen.pop(self.own.name, None)
+        if mine is not None:
+            self._enlisted = True
+            newer = mine.incarnation > self.own.incarnation
+            self.standing = SUPERSEDED if newer or self.standing == SUPERSEDED else MEMBER
+        elif self._enlisted and self.standing == MEMBER:
+            self.standing = REMOVED
+        if seen == self._members:
+            return
+        for name, member in seen.items():
+            was = self._members.get(name)
+            if was is None or was.incarnation < member.incarnation:
+                suspect = self._suspects.get(member.address)
+                if suspect is not None and suspect.losses < FLAPS:
+                    del self._suspects[member.address]
+                self._look_wait = LOOK_S
+        self._members, self._places = seen, None
+        self._names = {member.address: name for name, member in seen.items()}
+        self._known.update(name for name in self._links if name in seen)
+
+    def admits(self, member: Member, now: float) -> Refusal | None:
+        """None to take a link that this member has dialled, else what to answer before it is closed."""
+        if member.name == self.own.name:
+            if member.incarnation > self.own.incarnation:
+                self.standing = SUPERSEDED
+            return Refusal(SUPERSEDED if member.incarnation < self.own.incarnation else SAME_NAME)
+        seen = self._members.get(member.name)
+        if seen is not None and member.incarnation < seen.incarnation:
+            return Refusal(SUPERSEDED)
+        accepted = sum(not link.dialled for name, link in self._links.items() if name != member.name)
+        return Refusal(FULL, self._instead(member)) if accepted >= self.in_most else None
+
+    def linked(self, name: str, now: float, dialled: Address | None = None) -> None:
+        """A link stands; ``dialled`` is the address if it was this side that did."""
+        member = self._members.get(name)
+        if dialled is None and member is not None and member.address in self._dialling:
+            dialled = member.address
+        if dialled is not None:
+            self._dialling.pop(dialled, None)
+            if suspect := self._suspects.get(dialled):
+                suspect.until, suspect.refusals = now, 0
+        self._links[name] = _Link(now, dialled is not None)
+        self._hints.clear()
+        if member is not None:
+            self._known.add(name)
+
+    def lost(self, name: str, now: float, orderly: bool = False) -> None:
+        """A link that stood is over; ``orderly`` if either side closed it on purpose."""
+        link = self._links.pop(name, None)
+        self._known.discard(name)
+        if link is None:
+            return
+        member = self._members.get(name)
+        if member is not None and not orderly:
+            if now - link.since >= CALM_S:
+                self._suspects.pop(member.address, None)
+            self._suspect(member.address, now, lost=True)
+        if self._uplink() is None:
+            self._look_wait, self._look_at = LOOK_S, None
+            self._orphan_at = now
+
+    def unreachable(self, address: Address, now: float) -> None:
+        """A dial failed."""
+        if self._dialling.pop(address, None) is not None:
+            self._suspect(address, now)
+            self._orphan_at = min(self._orphan_at, now + HEDGE_S / 5)
+
+    def refused(self, address: Address, now: float, refusal: Refusal) -> None:
+        """A dial was answered by ``refusal``."""
+        self._dialling.pop(address, None)
+        if refusal.reason == SUPERSEDED:
+            self.standing = SUPERSEDED
+        suspect = self._suspects.setdefault(address, _Suspect())
+        wait = min(BUSY_MOST_S, BUSY_S * 2**suspect.refusals) * self._rng.uniform(0.5, 1.5)
+        suspect.refusals, suspect.at, suspect.until = min(suspect.refusals + 1, 10), now, now + wait
+        self._hints.update(m.address for m in refusal.instead if m.address != self.own.address)
+        self._orphan_at = min(self._orphan_at, now + HEDGE_S / 5)
+
+    def heard(self, name: str, beacon: Beacon, now: float) -> None:
+        """The other side's word in a heartbeat of the link to ``name``."""
+        if (link := self._links.get(name)) is None:
+            return
+        link.told = beacon
+        beat = (beacon.incarnation, beacon.beat)
+        last = self._beats.get(beacon.rank)
+        if last is None or beat > last[0]:
+            # What goes round in circles after a root's death never has a new beat.
+            self._beats.pop(beacon.rank, None)
+            self._beats[beacon.rank] = beat, now
+            while len(self._beats) > ROOTS:
+                del self._beats[next(iter(self._beats))]
+
+    # What is to be done
+
+    def beacon(self, name: str, now: float) -> Beacon:
+        """What to say in the next heartbeat of the link to ``name``."""
+        port = self._port(now)
+        below = 1 + sum(
+            link.told.count
+            for other, link in self._links.items()
+            if link.told is not None and link.told.port and other != port
+        )
+        told = None if port is None else self._links[port].told
+        if told is None or port == name:
+            return Beacon(self._rank, self.own.incarnation, int(now / BEAT_S), port is not None, below)
+        return Beacon(told.rank, told.incarnation, told.beat, False, told.count)
+
+    def to_dial(self, now: float) -> list[Address]:
+        """Whom to dial now, each once; every one is answered by linked, unreachable or refused."""
+        if self.standing != MEMBER:
+            return []
+        if not self._started:
+            self._started = True
+            self._orphan_at = now + self._rng.uniform(0, SPREAD_S)
+            self._look_at = now + self._rng.uniform(0, SPREAD_S if self._members else START_S)
+        for late in [address for address, at in self._dialling.items() if now - at >= DIAL_S]:
+            self.unreachable(late, now)
+        dials = []
+        for choose in (self._rescue, self._upgrade, self._look):
+            if (address := choose(now)) is not None:
+                self._dialling[address] = now
+                dials.append(address)
+        return dials
+
+    def to_close(self, now: float) -> list[str]:
+        """Links to end: of no use to either side for a while, or to one that is no member."""
+        if self.standing != MEMBER:
+            return list(self._links)
+        uplink, port = self._uplink(), self._port(now)
+        closes = []
+        for name, link in self._links.items():
+            if name not in self._members:
+                if name in self._known or now - link.since >= STRANGER_S:
+                    closes.append(name)
+            elif not link.dialled or not self._spare(name, link, uplink, port, now):
+                link.spare_since = None
+            elif link.spare_since is None:
+                # By chance, so that two that are spare only because of each other don't go together.
+                link.spare_since, link.patience = now, self._rng.uniform(STOOD_S, 2 * STOOD_S)
+            elif now - link.spare_since >= link.patience:
+                closes.append(name)
+        return closes
+
+    def next_at(self, now: float) -> float:
+        """When to ask again at the latest if nothing is told before."""
+        times = [now + ASK_S]
+        if self.standing == MEMBER:
+            if self._uplink() is None and self._orphan_at > now:
+                times.append(self._orphan_at)
+            times += [at for at in (self._upgrade_at, self._look_at) if at is not None and at > now]
+        return min(times)
+
+    # Dials
+
+    def _rescue(self, now: float) -> Address | None:
+        """Without a way up: the next of those that have not failed."""
+        if now < self._orphan_at or len(self._dialling) >= HEDGES or self._uplink() is not None:
+            return None
+        for name in self._view().tries:
+            address = self._members[name].address
+            suspect = self._suspects.get(address)
+            if self._eligible(name, now) and (suspect is None or not suspect.failures):
+                # With a bridge there is no hurry.
+                wait = HEDGE_S if self._port(now) is None else self._rng.uniform(1, 2) * ASK_S
+                self._orphan_at = now + wait
+                return address
+        return None
+
+    def _upgrade(self, now: float) -> Address | None:
+        """From a stopgap to the best place, or to a nearer circle."""
+        uplink, view = self._uplink(), self._view()
+        better: list[str] = []
+        if uplink is not None and view.position[uplink]:
+            circle = view.circle[uplink]
+            end = next(at for at, name in enumerate(view.best) if view.circle[name] == circle)
+            better = [name for name in view.best[: max(1, end)] if self._eligible(name, now)]
+        if not better:
+            self._upgrade_at = None
+            return None
+        if self._upgrade_at is None:
+            self._upgrade_at = now + self._rng.uniform(0, UPGRADE_S)
+        if now < self._upgrade_at:
+            return None
+        self._upgrade_at = now + self._rng.uniform(0.5, 1) * UPGRADE_S
+        return self._members[self._either(better)].address
+
+    def _look(self, now: float) -> Address | None:
+        """For others that are not linked to the same root."""
+        uplink, port = self._uplink(), self._port(now)
+        members = len(self._members) + 1
+        strange = [seed for seed in self._seeds if seed not in self._names]
+        if not self._links:
+            wanted = bool(members > 1 or strange or self._hints)
+        elif port is None and uplink is None:
+            wanted = self.count(now) < members or bool(strange) or self._looks < FIRST_LOOKS
+        elif uplink is None:
+            wanted = bool(self._view().best)
+        else:
+            wanted = port is not None and self.count(now) < members
+        if not wanted:
+            self._look_at = None
+            return None
+        root = uplink is None
+        wait = self._look_wait if root else LOOK_REST_S + LOOK_EACH_S * members
+        if self._look_at is None:
+            self._look_at = now + (self._rng.uniform(0, wait) if root else FRESH_S + self._late(wait))
+        if now < self._look_at:
+            return None
+        if root:
+            self._look_wait = min(LOOK_MOST_S, self._look_wait * 2)
+            self._looks += 1
+        self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
+        lower = [name for name in self._view().best if self._eligible(name, now)]
+        if lower and (root and port is not None or self._rng.random() < 0.5):
+            return self._members[self._either(lower)].address
+        if root and port is not None:
+            return None
+        any_one = [m.address for name, m in self._members.items() if self._eligible(name, now)]
+        chosen = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now)]
+        if chosen and (not any_one or self._rng.random() < 0.5):
+            return self._rng.choice(chosen)
+        if any_one:
+            return self._rng.choice(any_one)
+        if self._links:
+            return None
+        # Alone, and all have failed: the one whose time comes first.
+        left = [a for a in (*self._names, *strange, *sorted(self._hints)) if a not in self._dialling]
+        return min(left, key=lambda a: self._suspects[a].until if a in self._suspects else 0.0, default=None)
+
+    # Views
+
+    def count(self, now: float) -> int:
+        """Members linked together with this one, as far as beacons tell."""
+        port = self._port(now)
+        told = None if port is None else self._links[port].told
+        return self.beacon("", now).count if told is None else told.count
+
+    def _view(self) -> _Places:
+        if self._places is None:
+            self._places = places(self.own, self._members, self.fanout)
+        return self._places
+
+    def _uplink(self) -> str | None:
+        position = self._view().position
+        return min((name for name in self._links if name in position), key=position.__getitem__, default=None)
+
+    def _root(self, link: _Link, now: float) -> int | None:
+        """Whom this link tells of as root, if that one still beats and this is not the other's way to it."""
+        told = link.told
+        if told is None or told.port:
+            return None
+        (incarnation, beat), at = self._beats.get(told.rank, ((0, 0), -FRESH_S))
+        late = told.incarnation != incarnation or (beat - told.beat) * BEAT_S > FRESH_S
+        return None if late or now - at > FRESH_S else told.rank
+
+    def _port(self, now: float) -> str | None:
+        """The link that is the way to the root; None if this is it."""
+        best, port = self._rank, None
+        uplink = self._uplink()
+        for name, link in self._links.items():
+            root = self._root(link, now)
+            if root is not None and (root < best or root == best and port is not None and name == uplink):
+                best, port = root, name
+        return port
+
+    def _spare(self, name: str, link: _Link, uplink: str | None, port: str | None, now: float) -> bool:
+        if name in (uplink, port) or (link.told is not None and link.told.port):
+            return False
+        if link.told is None:  # no beacons on this link: the order has to do
+            stood = uplink is not None and now - self._links[uplink].since >= STOOD_S
+            return stood and now - link.since >= STRANGER_S
+        way = None if port is None else self._links[port]
+        root = self._rank if way is None or way.told is None else way.told.rank
+        return self._root(link, now) == root and (way is None or now - way.since >= STOOD_S)
+
+    def _eligible(self, name: str, now: float) -> bool:
+        return name not in self._links and self._eligible_address(self._members[name].address, now)
+
+    def _eligible_address(self, address: Address, now: float) -> bool:
+        suspect = self._suspects.get(address)
+        if suspect is not None and now - suspect.at > FORGET_S:
+            del self._suspects[address]
+            suspect = None
+        return address not in self._dialling and (suspect is None or suspect.until <= now)
+
+    def _suspect(self, address: Address, now: float, lost: bool = False) -> None:
+        suspect = self._suspects.setdefault(address, _Suspect())
+        suspect.failures, suspect.at = min(suspect.failures + 1, 10), now
+        suspect.losses = min(suspect.losses + lost, 10)
+        wait = min(RETRY_MOST_S, RETRY_S * 2 ** (suspect.failures - 1))
+        if lost and suspect.losses >= FLAPS:
+            wait = min(FLAP_MOST_S, FLAP_S * 2**suspect.losses)
+        suspect.until = max(suspect.until, now + wait * self._rng.uniform(0.5, 1))
+
+    def _either(self, names: Sequence[str]) -> str:
+        """The best or any: the best may be dead for long, and the rest then wait behind it."""
+        return names[0] if self._rng.random() < 0.5 else self._rng.choice(names)
+
+    def _late(self, mean: float) -> float:
+        return self._rng.expovariate(1 / mean)
+
+    def _instead(self, member: Member) -> tuple[Member, ...]:
+        near = [m for m in self._members.values() if (m.region, m.zone) == (member.region, member.zone)]
+        others = [m for m in near or self._members.values() if m.name != member.name]
+        return tuple(self._rng.sample(others, min(INSTEAD, len(others))))
