--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -17,11 +17,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from bisect import insort
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
-from itertools import zip_longest
+from itertools import chain, islice, zip_longest
 from random import Random
 
 Address = tuple[str, int]
@@ -95,16 +96,6 @@
     at: float = 0.0
 
 
-@dataclass(slots=True)
-class _Places:
-    """Whom to link to, from one view."""
-
-    best: list[str]  # all before one, the best first
-    tries: list[str]  # the first of these in the order in which an orphan tries them
-    position: dict[str, int]
-    circle: dict[str, int]  # 0 for one's zone, 1 for the region, 2 for beyond
-
-
 def _number(*parts: str) -> int:
     return int.from_bytes(blake2b("\0".join(parts).encode(), digest_size=8).digest(), "big")
 
@@ -146,42 +137,78 @@
     return [name for names in zip_longest(*lists) for name in names if name is not None]
 
 
-def places(own: Member, members: Mapping[str, Member], fanout: int) -> _Places:
-    """Whom ``own`` prefers of the others. A pure function of the view."""
-    zones: dict[tuple[str, str], list[Member]] = {(own.region, own.zone): [own]}
-    for member in members.values():
-        zones.setdefault((member.region, member.zone), []).append(member)
-    names = {
-        where: [m.name for m in sorted(some, key=lambda m: rank_of(m.region, m.zone, m.name))]
-        for where, some in zones.items()
-    }
-
-    def zones_of(region: str) -> list[str]:
-        return sorted((z for r, z in names if r == region), key=lambda z: rank_of(region, z))
-
-    mine = names[own.region, own.zone]
-    regions = sorted({region for region, _ in names}, key=rank_of)
-    near = zones_of(own.region)
-    circles = [
-        before(mine, mine.index(own.name), fanout),
-        _in_turn([names[own.region, zone] for zone in before(near, near.index(own.zone), fanout)]),
-        _in_turn(
-            [
-                _in_turn([names[region, zone] for zone in zones_of(region)])
-                for region in before(regions, regions.index(own.region), fanout)
-            ]
-        ),
-    ]
-    best = [name for circle in circles for name in circle]
-    heads = [circles[0][:fanout], circles[1][:HEADS], circles[2][:HEADS]]
-    rest = [circle[len(head) :] for circle, head in zip(circles, heads, strict=True)]
-    tries = [name for part in heads + rest for name in part][:TRIES]
-    return _Places(
-        best,
-        tries,
-        {name: at for at, name in enumerate(best)},
-        {name: at for at, circle in enumerate(circles) for name in circle},
-    )
+class Places:
+    """The members before one's own in the order, in three circles: one's zone, the region, and beyond."""
+
+    def __init__(self, own: Member, fanout: int) -> None:
+        self._own, self._fanout = own, fanout
+        self._rank = rank_of(own.region, own.zone, own.name)
+        self._zones: dict[str, dict[str, list[tuple[int, str]]]] = {}
+        self._circles: list[dict[str, int] | None] = [None] * 3
+        self.add(own)
+
+    def add(self, member: Member) -> None:
+        zone = self._zones.setdefault(member.region, {}).setdefault(member.zone, [])
+        insort(zone, (rank_of(member.region, member.zone, member.name), member.name))
+        self._forget(member)
+
+    def remove(self, member: Member) -> None:
+        zones = self._zones[member.region]
+        zones[member.zone].remove((rank_of(member.region, member.zone, member.name), member.name))
+        if not zones[member.zone]:
+            del zones[member.zone]
+        if not zones:
+            del self._zones[member.region]
+        self._forget(member)
+
+    def before(self, member: Member) -> int | None:
+        """The circle of one that comes before this one's own member; None for one that comes after."""
+        if rank_of(member.region, member.zone, member.name) >= self._rank:
+            return None
+        return 2 if member.region != self._own.region else int(member.zone != self._own.zone)
+
+    def circle(self, at: int) -> dict[str, int]:
+        """Its members, the best first, with their place in it."""
+        if (circle := self._circles[at]) is None:
+            names = (self._of_zone, self._of_region, self._of_all)[at]()
+            circle = self._circles[at] = {name: place for place, name in enumerate(names)}
+        return circle
+
+    def best(self, circles: int = 3) -> Iterator[str]:
+        return chain.from_iterable(self.circle(at) for at in range(circles))
+
+    def tries(self) -> Iterator[str]:
+        """As an orphan tries them: of each circle the best, then the rest."""
+        heads = (self._fanout, HEADS, HEADS)
+        parts = [islice(self.circle(at), head) for at, head in enumerate(heads)]
+        parts += [islice(self.circle(at), head, None) for at, head in enumerate(heads)]
+        return islice(chain.from_iterable(parts), TRIES)
+
+    def _forget(self, member: Member) -> None:
+        if member.region == self._own.region:
+            self._circles[0 if member.zone == self._own.zone else 1] = None
+        else:
+            self._circles[2] = None
+
+    def _of_zone(self) -> list[str]:
+        names = [name for _, name in self._zones[self._own.region][self._own.zone]]
+        return before(names, names.index(self._own.name), self._fanout)
+
+    def _of_region(self) -> list[str]:
+        zones = self._ordered(self._own.region)
+        lower = before(zones, zones.index(self._own.zone), self._fanout)
+        return _in_turn([self._names(self._own.region, zone) for zone in lower])
+
+    def _of_all(self) -> list[str]:
+        regions = sorted(self._zones, key=rank_of)
+        lower = before(regions, regions.index(self._own.region), self._fanout)
+        return _in_turn([_in_turn([self._names(r, zone) for zone in self._ordered(r)]) for r in lower])
+
+    def _ordered(self, region: str) -> list[str]:
+        return sorted(self._zones[region], key=lambda zone: rank_of(region, zone))
+
+    def _names(self, region: str, zone: str) -> list[str]:
+        return [name for _, name in self._zones[region][zone]]
 
 
 class Overlay:
@@ -202,7 +229,7 @@
         self._names: dict[Address, str] = {}
         self._hints: set[Address] = set()
         self._enlisted = False  # the view has held this member
-        self._places: _Places | None = None
+        self._places = Places(own, fanout)
         self._links: dict[str, _Link] = {}
         self._known: set[str] = set()  # linked, and in a view since
         self._dialling: dict[Address, float] = {}
@@ -226,18 +253,32 @@
             self.standing = SUPERSEDED if newer or self.standing == SUPERSEDED else MEMBER
         elif self._enlisted and self.standing == MEMBER:
             self.standing = REMOVED
-        if seen == self._members:
-            return
+        for name in self._members.keys() - seen.keys():
+            self._drop(self._members[name])
         for name, member in seen.items():
             was = self._members.get(name)
-            if was is None or was.incarnation < member.incarnation:
-                suspect = self._suspects.get(member.address)
-                if suspect is not None and suspect.losses < FLAPS:
-                    del self._suspects[member.address]
-                self._look_wait = LOOK_S
-        self._members, self._places = seen, None
-        self._names = {member.address: name for name, member in seen.items()}
-        self._known.update(name for name in self._links if name in seen)
+            if was is not member and was != member:
+                self._take(member, was)
+
+    def _drop(self, member: Member) -> None:
+        del self._members[member.name]
+        self._places.remove(member)
+        if self._names.get(member.address) == member.name:
+            del self._names[member.address]
+
+    def _take(self, member: Member, was: Member | None) -> None:
+        if was is not None:
+            self._drop(was)
+        self._members[member.name] = member
+        self._names[member.address] = member.name
+        self._places.add(member)
+        if member.name in self._links:
+            self._known.add(member.name)
+        if was is None or was.incarnation < member.incarnation:
+            suspect = self._suspects.get(member.address)
+            if suspect is not None and suspect.losses < FLAPS:
+                del self._suspects[member.address]
+            self._look_wait = LOOK_S
 
     def admits(self, member: Member, now: float) -> Refusal | None:
         """None to take a link that this member has dialled, else what to answer before it is closed."""
@@ -333,7 +374,8 @@
         if not self._started:
             self._started = True
             self._orphan_at = now + self._rng.uniform(0, SPREAD_S)
-            self._look_at = now + self._rng.uniform(0, SPREAD_S if self._members else START_S)
+            if not self._members:
+                self._look_at = now + self._rng.uniform(0, START_S)
         for late in [address for address, at in self._dialling.items() if now - at >= DIAL_S]:
             self.unreachable(late, now)
         dials = []
@@ -377,24 +419,29 @@
         """Without a way up: the next of those that have not failed."""
         if now < self._orphan_at or len(self._dialling) >= HEDGES or self._uplink() is not None:
             return None
-        for name in self._view().tries:
+        if (address := self._untried(now)) is not None:
+            # With a bridge there is no hurry.
+            wait = HEDGE_S if self._port(now) is None else self._rng.uniform(1, 2) * ASK_S
+            self._orphan_at = now + wait
+        return address
+
+    def _untried(self, now: float) -> Address | None:
+        for name in self._places.tries():
             address = self._members[name].address
             suspect = self._suspects.get(address)
             if self._eligible(name, now) and (suspect is None or not suspect.failures):
-                # With a bridge there is no hurry.
-                wait = HEDGE_S if self._port(now) is None else self._rng.uniform(1, 2) * ASK_S
-                self._orphan_at = now + wait
                 return address
         return None
 
     def _upgrade(self, now: float) -> Address | None:
         """From a stopgap to the best place, or to a nearer circle."""
-        uplink, view = self._uplink(), self._view()
+        uplink = self._uplink()
+        best = next(self._places.best(), None)
         better: list[str] = []
-        if uplink is not None and view.position[uplink]:
-            circle = view.circle[uplink]
-            end = next(at for at, name in enumerate(view.best) if view.circle[name] == circle)
-            better = [name for name in view.best[: max(1, end)] if self._eligible(name, now)]
+        if uplink is not None and best is not None and uplink != best:
+            circle = self._places.before(self._members[uplink]) or 0
+            names = self._places.best(circle) if next(self._places.best(circle), None) else (best,)
+            better = [name for name in names if self._eligible(name, now)]
         if not better:
             self._upgrade_at = None
             return None
@@ -415,7 +462,7 @@
         elif port is None and uplink is None:
             wanted = self.count(now) < members or bool(strange) or self._looks < FIRST_LOOKS
         elif uplink is None:
-            wanted = bool(self._view().best)
+            wanted = next(self._places.best(), None) is not None
         else:
             wanted = port is not None and self.count(now) < members
         if not wanted:
@@ -423,15 +470,19 @@
             return None
         root = uplink is None
         wait = self._look_wait if root else LOOK_REST_S + LOOK_EACH_S * members
-        if self._look_at is None:
-            self._look_at = now + (self._rng.uniform(0, wait) if root else FRESH_S + self._late(wait))
+        if self._look_at is None and root:
+            # Those before it are tried first.
+            first = 2 * ASK_S if self._dialling or self._untried(now) else wait
+            self._look_at = now + self._rng.uniform(0.5, 1) * first
+        elif self._look_at is None:
+            self._look_at = now + FRESH_S + self._late(wait)
         if now < self._look_at:
             return None
         if root:
             self._look_wait = min(LOOK_MOST_S, self._look_wait * 2)
             self._looks += 1
         self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
-        lower = [name for name in self._view().best if self._eligible(name, now)]
+        lower = [name for name in self._places.best() if self._eligible(name, now)]
         if lower and (root and port is not None or self._rng.random() < 0.5):
             return self._members[self._either(lower)].address
         if root and port is not None:
@@ -456,14 +507,18 @@
         told = None if port is None else self._links[port].told
         return self.beacon("", now).count if told is None else told.count
 
-    def _view(self) -> _Places:
-        if self._places is None:
-            self._places = places(self.own, self._members, self.fanout)
-        return self._places
-
     def _uplink(self) -> str | None:
-        position = self._view().position
-        return min((name for name in self._links if name in position), key=position.__getitem__, default=None)
+        """The best linked of those before this one."""
+        found: str | None = None
+        least = (3, 0)
+        for name in self._links:
+            member = self._members.get(name)
+            circle = None if member is None else self._places.before(member)
+            if circle is not None and circle <= least[0]:
+                place = circle, self._places.circle(circle)[name]
+                if place < least:
+                    found, least = name, place
+        return found
 
     def _root(self, link: _Link, now: float) -> int | None:
         """Whom this link tells of as root, if that one still beats and this is not the other's way to it."""
