--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -33,14 +33,14 @@
 START_S = 4.0  # a member that knows only seeds waits up to so long, lest a fleet's start fall on them at once
 SPREAD_S = 0.5  # and one that knows the others so long
 HEDGE_S, HEDGES = 0.25, 4  # without a way up: another dial after so long, and so many at once
-RETRY_S, RETRY_MOST_S = 1.0, 15.0  # a suspect is tried again after
+RETRY_S, RETRY_MOST_S = 1.0, 60.0  # a suspect is tried again after
 FLAPS, FLAP_S, FLAP_MOST_S = 3, 5.0, 120.0  # one that was lost so often is left alone for longer, new or not
 BUSY_S, BUSY_MOST_S = 2.0, 120.0  # one that was full is asked again after
 CALM_S = 60.0  # a link that stood so long clears its member's record of failures
 FORGET_S = 600.0  # and so does time
 UPGRADE_S = 5.0  # a better place is taken within
 LOOK_S, LOOK_MOST_S = 0.25, 15.0  # a root that may not be the only one looks for others each
-LOOK_REST_S, LOOK_EACH_S = 60.0, 4.0  # the rest look so seldom on average, and longer by so much a member
+LOOK_REST_S, LOOK_EACH_S = 60.0, 8.0  # the rest look so seldom on average, and longer by so much a member
 FIRST_LOOKS = 3  # a root that has just started looks so often in any case
 STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
 STRANGER_S = 10.0  # a link whose member is in no view is closed after
@@ -232,6 +232,8 @@
         self._places = Places(own, fanout)
         self._links: dict[str, _Link] = {}
         self._known: set[str] = set()  # linked, and in a view since
+        self._up: str | None = None  # the best linked of those before this one
+        self._up_known = True
         self._dialling: dict[Address, float] = {}
         self._suspects: dict[Address, _Suspect] = {}
         self._beats: dict[int, tuple[tuple[int, int], float]] = {}  # by root: the last, and when it came
@@ -263,6 +265,7 @@
     def _drop(self, member: Member) -> None:
         del self._members[member.name]
         self._places.remove(member)
+        self._up_known = False
         if self._names.get(member.address) == member.name:
             del self._names[member.address]
 
@@ -272,6 +275,7 @@
         self._members[member.name] = member
         self._names[member.address] = member.name
         self._places.add(member)
+        self._up_known = False
         if member.name in self._links:
             self._known.add(member.name)
         if was is None or was.incarnation < member.incarnation:
@@ -302,6 +306,7 @@
             if suspect := self._suspects.get(dialled):
                 suspect.until, suspect.refusals = now, 0
         self._links[name] = _Link(now, dialled is not None)
+        self._up_known = False
         self._hints.clear()
         if member is not None:
             self._known.add(name)
@@ -312,12 +317,14 @@
         self._known.discard(name)
         if link is None:
             return
+        hurry = name == self._up or not self._links
+        self._up_known = False
         member = self._members.get(name)
         if member is not None and not orderly:
             if now - link.since >= CALM_S:
                 self._suspects.pop(member.address, None)
             self._suspect(member.address, now, lost=True)
-        if self._uplink() is None:
+        if hurry and self._uplink() is None:
             self._look_wait, self._look_at = LOOK_S, None
             self._orphan_at = now
 
@@ -335,7 +342,7 @@
         suspect = self._suspects.setdefault(address, _Suspect())
         wait = min(BUSY_MOST_S, BUSY_S * 2**suspect.refusals) * self._rng.uniform(0.5, 1.5)
         suspect.refusals, suspect.at, suspect.until = min(suspect.refusals + 1, 10), now, now + wait
-        self._hints.update(m.address for m in refusal.instead if m.address != self.own.address)
+        self._hints = {m.address for m in refusal.instead[:INSTEAD] if m.address != self.own.address}
         self._orphan_at = min(self._orphan_at, now + HEDGE_S / 5)
 
     def heard(self, name: str, beacon: Beacon, now: float) -> None:
@@ -482,13 +489,13 @@
             self._look_wait = min(LOOK_MOST_S, self._look_wait * 2)
             self._looks += 1
         self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
-        lower = [name for name in self._places.best() if self._eligible(name, now)]
+        lower = [name for name in self._places.best() if self._eligible(name, now, root)]
         if lower and (root and port is not None or self._rng.random() < 0.5):
             return self._members[self._either(lower)].address
         if root and port is not None:
             return None
-        any_one = [m.address for name, m in self._members.items() if self._eligible(name, now)]
-        chosen = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now)]
+        any_one = [m.address for name, m in self._members.items() if self._eligible(name, now, root)]
+        chosen = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now, root)]
         if chosen and (not any_one or self._rng.random() < 0.5):
             return self._rng.choice(chosen)
         if any_one:
@@ -508,7 +515,11 @@
         return self.beacon("", now).count if told is None else told.count
 
     def _uplink(self) -> str | None:
-        """The best linked of those before this one."""
+        if not self._up_known:
+            self._up, self._up_known = self._best_linked(), True
+        return self._up
+
+    def _best_linked(self) -> str | None:
         found: str | None = None
         least = (3, 0)
         for name in self._links:
@@ -549,15 +560,20 @@
         root = self._rank if way is None or way.told is None else way.told.rank
         return self._root(link, now) == root and (way is None or now - way.since >= STOOD_S)
 
-    def _eligible(self, name: str, now: float) -> bool:
-        return name not in self._links and self._eligible_address(self._members[name].address, now)
+    def _eligible(self, name: str, now: float, root: bool = False) -> bool:
+        return name not in self._links and self._eligible_address(self._members[name].address, now, root)
 
-    def _eligible_address(self, address: Address, now: float) -> bool:
+    def _eligible_address(self, address: Address, now: float, root: bool = False) -> bool:
+        """A root that looks for others doesn't wait as long as those for whom they are only a better place."""
         suspect = self._suspects.get(address)
         if suspect is not None and now - suspect.at > FORGET_S:
             del self._suspects[address]
             suspect = None
-        return address not in self._dialling and (suspect is None or suspect.until <= now)
+        if address in self._dialling:
+            return False
+        if suspect is None or suspect.until <= now:
+            return True
+        return root and suspect.losses < FLAPS and now - suspect.at >= LOOK_MOST_S
 
     def _suspect(self, address: Address, now: float, lost: bool = False) -> None:
         suspect = self._suspects.setdefault(address, _Suspect())
@@ -567,6 +583,8 @@
         if lost and suspect.losses >= FLAPS:
             wait = min(FLAP_MOST_S, FLAP_S * 2**suspect.losses)
         suspect.until = max(suspect.until, now + wait * self._rng.uniform(0.5, 1))
+        if len(self._suspects) > 2 * (len(self._names) + len(self._seeds) + INSTEAD):
+            self._suspects = {a: s for a, s in self._suspects.items() if now - s.at <= FORGET_S}
 
     def _either(self, names: Sequence[str]) -> str:
         """The best or any: the best may be dead for long, and the rest then wait behind it."""
