--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -39,8 +39,9 @@
 CALM_S = 60.0  # a link that stood so long clears its member's record of failures
 FORGET_S = 600.0  # and so does time
 UPGRADE_S = 5.0  # a better place is taken within
-LOOK_S, LOOK_MOST_S = 0.25, 15.0  # a root that may not be the only one looks for others each
-LOOK_REST_S, LOOK_EACH_S = 60.0, 8.0  # the rest look so seldom on average, and longer by so much a member
+LOOK_S, LOOK_MOST_S = 0.25, 10.0  # a root that may not be the only one looks for others each
+LOOK_ALONE_S = 2.0  # and one that has no link at all
+LOOK_REST_S, LOOK_EACH_S = 20.0, 8.0  # the rest look so seldom on average, and longer by so much a member
 FIRST_LOOKS = 3  # a root that has just started looks so often in any case
 STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
 STRANGER_S = 10.0  # a link whose member is in no view is closed after
@@ -242,6 +243,8 @@
         self._upgrade_at: float | None = None
         self._look_at: float | None = None
         self._look_wait, self._looks = LOOK_S, 0
+        self._look_root = True  # the look that is due is a root's
+        self._looked: dict[Address, float] = {}
 
     # What is told
 
@@ -313,11 +316,12 @@
 
     def lost(self, name: str, now: float, orderly: bool = False) -> None:
         """A link that stood is over; ``orderly`` if either side closed it on purpose."""
-        link = self._links.pop(name, None)
-        self._known.discard(name)
-        if link is None:
+        if name not in self._links:
             return
-        hurry = name == self._up or not self._links
+        uplink = self._uplink()
+        link = self._links.pop(name)
+        self._known.discard(name)
+        hurry = name == uplink or not self._links
         self._up_known = False
         member = self._members.get(name)
         if member is not None and not orderly:
@@ -477,6 +481,8 @@
             return None
         root = uplink is None
         wait = self._look_wait if root else LOOK_REST_S + LOOK_EACH_S * members
+        if root != self._look_root:
+            self._look_root, self._look_at = root, None
         if self._look_at is None and root:
             # Those before it are tried first.
             first = 2 * ASK_S if self._dialling or self._untried(now) else wait
@@ -486,25 +492,36 @@
         if now < self._look_at:
             return None
         if root:
-            self._look_wait = min(LOOK_MOST_S, self._look_wait * 2)
-            self._looks += 1
+            self._look_wait = min(LOOK_MOST_S if self._links else LOOK_ALONE_S, self._look_wait * 2)
+        self._looks += 1
         self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
-        lower = [name for name in self._places.best() if self._eligible(name, now, root)]
-        if lower and (root and port is not None or self._rng.random() < 0.5):
-            return self._members[self._either(lower)].address
+        before = [name for name in self._places.best() if self._eligible(name, now, root)]
+        lower = [self._members[name].address for name in before]
+        others = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now, root)]
+        if self._links and self.count(now) >= members:
+            return self._stalest(others, now)
         if root and port is not None:
+            return self._stalest(lower, now)
+        if lower and self._looks % 2:
+            return self._stalest(lower, now)
+        if not others or self._rng.random() < 0.5:
+            any_one = [m.address for m in self._members.values() if self._eligible(m.name, now, root)]
+            others = any_one or others
+        if not others and not self._links:
+            # Alone, and all have failed just now.
+            others = [a for a in (*self._names, *strange, *self._hints) if a not in self._dialling]
+        return self._stalest(others, now)
+
+    def _stalest(self, addresses: Sequence[Address], now: float) -> Address | None:
+        """The one that was looked at longest ago, so that all have their turn; by chance among equals."""
+        if not addresses:
             return None
-        any_one = [m.address for name, m in self._members.items() if self._eligible(name, now, root)]
-        chosen = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now, root)]
-        if chosen and (not any_one or self._rng.random() < 0.5):
-            return self._rng.choice(chosen)
-        if any_one:
-            return self._rng.choice(any_one)
-        if self._links:
-            return None
-        # Alone, and all have failed: the one whose time comes first.
-        left = [a for a in (*self._names, *strange, *sorted(self._hints)) if a not in self._dialling]
-        return min(left, key=lambda a: self._suspects[a].until if a in self._suspects else 0.0, default=None)
+        oldest = min(self._looked.get(address, 0.0) for address in addresses)
+        chosen = self._rng.choice([a for a in addresses if self._looked.get(a, 0.0) == oldest])
+        if len(self._looked) > 2 * (len(self._names) + len(self._seeds) + INSTEAD):
+            self._looked.clear()
+        self._looked[chosen] = now
+        return chosen
 
     # Views
 
@@ -564,7 +581,7 @@
         return name not in self._links and self._eligible_address(self._members[name].address, now, root)
 
     def _eligible_address(self, address: Address, now: float, root: bool = False) -> bool:
-        """A root that looks for others doesn't wait as long as those for whom they are only a better place."""
+        """A root that looks for others doesn't wait as long as who only wants a better place."""
         suspect = self._suspects.get(address)
         if suspect is not None and now - suspect.at > FORGET_S:
             del self._suspects[address]
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -199,6 +199,9 @@
 
     def arrives(self, node: Node, other: Node, address: Address) -> None:
         back = self.now + self.latency(node, other)
+        if not other.machine_up or self.cut(node.member, other.member):
+            self.at(self.now + CONNECT_S, self.failed, node, address)
+            return
         if not other.alive:
             self.at(back, self.failed, node, address)
             return
