--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -33,14 +33,15 @@
 START_S = 4.0  # a member that knows only seeds waits up to so long, lest a fleet's start fall on them at once
 SPREAD_S = 0.5  # and one that knows the others so long
 HEDGE_S, HEDGES = 0.25, 4  # without a way up: another dial after so long, and so many at once
-RETRY_S, RETRY_MOST_S = 1.0, 15.0  # a suspect is tried again after
+RETRY_S, RETRY_MOST_S = 1.0, 60.0  # a suspect is tried again after
 FLAPS, FLAP_S, FLAP_MOST_S = 3, 5.0, 120.0  # one that was lost so often is left alone for longer, new or not
 BUSY_S, BUSY_MOST_S = 2.0, 120.0  # one that was full is asked again after
 CALM_S = 60.0  # a link that stood so long clears its member's record of failures
 FORGET_S = 600.0  # and so does time
 UPGRADE_S = 5.0  # a better place is taken within
-LOOK_S, LOOK_MOST_S = 0.25, 15.0  # a root that may not be the only one looks for others each
-LOOK_REST_S, LOOK_EACH_S = 60.0, 4.0  # the rest look so seldom on average, and longer by so much a member
+LOOK_S, LOOK_MOST_S = 0.25, 10.0  # a root that may not be the only one looks for others each
+LOOK_ALONE_S = 2.0  # and one that has no link at all
+LOOK_REST_S, LOOK_EACH_S = 20.0, 8.0  # the rest look so seldom on average, and longer by so much a member
 FIRST_LOOKS = 3  # a root that has just started looks so often in any case
 STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
 STRANGER_S = 10.0  # a link whose member is in no view is closed after
@@ -232,6 +233,8 @@
         self._places = Places(own, fanout)
         self._links: dict[str, _Link] = {}
         self._known: set[str] = set()  # linked, and in a view since
+        self._up: str | None = None  # the best linked of those before this one
+        self._up_known = True
         self._dialling: dict[Address, float] = {}
         self._suspects: dict[Address, _Suspect] = {}
         self._beats: dict[int, tuple[tuple[int, int], float]] = {}  # by root: the last, and when it came
@@ -240,6 +243,8 @@
         self._upgrade_at: float | None = None
         self._look_at: float | None = None
         self._look_wait, self._looks = LOOK_S, 0
+        self._look_root = True  # the look that is due is a root's
+        self._looked: dict[Address, float] = {}
 
     # What is told
 
@@ -263,6 +268,7 @@
     def _drop(self, member: Member) -> None:
         del self._members[member.name]
         self._places.remove(member)
+        self._up_known = False
         if self._names.get(member.address) == member.name:
             del self._names[member.address]
 
@@ -272,6 +278,7 @@
         self._members[member.name] = member
         self._names[member.address] = member.name
         self._places.add(member)
+        self._up_known = False
         if member.name in self._links:
             self._known.add(member.name)
         if was is None or was.incarnation < member.incarnation:
@@ -302,22 +309,26 @@
             if suspect := self._suspects.get(dialled):
                 suspect.until, suspect.refusals = now, 0
         self._links[name] = _Link(now, dialled is not None)
+        self._up_known = False
         self._hints.clear()
         if member is not None:
             self._known.add(name)
 
     def lost(self, name: str, now: float, orderly: bool = False) -> None:
         """A link that stood is over; ``orderly`` if either side closed it on purpose."""
-        link = self._links.pop(name, None)
-        self._known.discard(name)
-        if link is None:
+        if name not in self._links:
             return
+        uplink = self._uplink()
+        link = self._links.pop(name)
+        self._known.discard(name)
+        hurry = name == uplink or not self._links
+        self._up_known = False
         member = self._members.get(name)
         if member is not None and not orderly:
             if now - link.since >= CALM_S:
                 self._suspects.pop(member.address, None)
             self._suspect(member.address, now, lost=True)
-        if self._uplink() is None:
+        if hurry and self._uplink() is None:
             self._look_wait, self._look_at = LOOK_S, None
             self._orphan_at = now
 
@@ -335,7 +346,7 @@
         suspect = self._suspects.setdefault(address, _Suspect())
         wait = min(BUSY_MOST_S, BUSY_S * 2**suspect.refusals) * self._rng.uniform(0.5, 1.5)
         suspect.refusals, suspect.at, suspect.until = min(suspect.refusals + 1, 10), now, now + wait
-        self._hints.update(m.address for m in refusal.instead if m.address != self.own.address)
+        self._hints = {m.address for m in refusal.instead[:INSTEAD] if m.address != self.own.address}
         self._orphan_at = min(self._orphan_at, now + HEDGE_S / 5)
 
     def heard(self, name: str, beacon: Beacon, now: float) -> None:
@@ -470,6 +481,8 @@
             return None
         root = uplink is None
         wait = self._look_wait if root else LOOK_REST_S + LOOK_EACH_S * members
+        if root != self._look_root:
+            self._look_root, self._look_at = root, None
         if self._look_at is None and root:
             # Those before it are tried first.
             first = 2 * ASK_S if self._dialling or self._untried(now) else wait
@@ -479,25 +492,36 @@
         if now < self._look_at:
             return None
         if root:
-            self._look_wait = min(LOOK_MOST_S, self._look_wait * 2)
-            self._looks += 1
+            self._look_wait = min(LOOK_MOST_S if self._links else LOOK_ALONE_S, self._look_wait * 2)
+        self._looks += 1
         self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
-        lower = [name for name in self._places.best() if self._eligible(name, now)]
-        if lower and (root and port is not None or self._rng.random() < 0.5):
-            return self._members[self._either(lower)].address
+        before = [name for name in self._places.best() if self._eligible(name, now, root)]
+        lower = [self._members[name].address for name in before]
+        others = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now, root)]
+        if self._links and self.count(now) >= members:
+            return self._stalest(others, now)
         if root and port is not None:
+            return self._stalest(lower, now)
+        if lower and self._looks % 2:
+            return self._stalest(lower, now)
+        if not others or self._rng.random() < 0.5:
+            any_one = [m.address for m in self._members.values() if self._eligible(m.name, now, root)]
+            others = any_one or others
+        if not others and not self._links:
+            # Alone, and all have failed just now.
+            others = [a for a in (*self._names, *strange, *self._hints) if a not in self._dialling]
+        return self._stalest(others, now)
+
+    def _stalest(self, addresses: Sequence[Address], now: float) -> Address | None:
+        """The one that was looked at longest ago, so that all have their turn; by chance among equals."""
+        if not addresses:
             return None
-        any_one = [m.address for name, m in self._members.items() if self._eligible(name, now)]
-        chosen = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now)]
-        if chosen and (not any_one or self._rng.random() < 0.5):
-            return self._rng.choice(chosen)
-        if any_one:
-            return self._rng.choice(any_one)
-        if self._links:
-            return None
-        # Alone, and all have failed: the one whose time comes first.
-        left = [a for a in (*self._names, *strange, *sorted(self._hints)) if a not in self._dialling]
-        return min(left, key=lambda a: self._suspects[a].until if a in self._suspects else 0.0, default=None)
+        oldest = min(self._looked.get(address, 0.0) for address in addresses)
+        chosen = self._rng.choice([a for a in addresses if self._looked.get(a, 0.0) == oldest])
+        if len(self._looked) > 2 * (len(self._names) + len(self._seeds) + INSTEAD):
+            self._looked.clear()
+        self._looked[chosen] = now
+        return chosen
 
     # Views
 
@@ -508,7 +532,11 @@
         return self.beacon("", now).count if told is None else told.count
 
     def _uplink(self) -> str | None:
-        """The best linked of those before this one."""
+        if not self._up_known:
+            self._up, self._up_known = self._best_linked(), True
+        return self._up
+
+    def _best_linked(self) -> str | None:
         found: str | None = None
         least = (3, 0)
         for name in self._links:
@@ -549,15 +577,20 @@
         root = self._rank if way is None or way.told is None else way.told.rank
         return self._root(link, now) == root and (way is None or now - way.since >= STOOD_S)
 
-    def _eligible(self, name: str, now: float) -> bool:
-        return name not in self._links and self._eligible_address(self._members[name].address, now)
+    def _eligible(self, name: str, now: float, root: bool = False) -> bool:
+        return name not in self._links and self._eligible_address(self._members[name].address, now, root)
 
-    def _eligible_address(self, address: Address, now: float) -> bool:
+    def _eligible_address(self, address: Address, now: float, root: bool = False) -> bool:
+        """A root that looks for others doesn't wait as long as who only wants a better place."""
         suspect = self._suspects.get(address)
         if suspect is not None and now - suspect.at > FORGET_S:
             del self._suspects[address]
             suspect = None
-        return address not in self._dialling and (suspect is None or suspect.until <= now)
+        if address in self._dialling:
+            return False
+        if suspect is None or suspect.until <= now:
+            return True
+        return root and suspect.losses < FLAPS and now - suspect.at >= LOOK_MOST_S
 
     def _suspect(self, address: Address, now: float, lost: bool = False) -> None:
         suspect = self._suspects.setdefault(address, _Suspect())
@@ -567,6 +600,8 @@
         if lost and suspect.losses >= FLAPS:
             wait = min(FLAP_MOST_S, FLAP_S * 2**suspect.losses)
         suspect.until = max(suspect.until, now + wait * self._rng.uniform(0.5, 1))
+        if len(self._suspects) > 2 * (len(self._names) + len(self._seeds) + INSTEAD):
+            self._suspects = {a: s for a, s in self._suspects.items() if now - s.at <= FORGET_S}
 
     def _either(self, names: Sequence[str]) -> str:
         """The best or any: the best may be dead for long, and the rest then wait behind it."""
