--- a/sageturn/store/spread/member.py
+++ b/sageturn/store/spread/member.py
@@ -131,7 +131,7 @@
         self, sock: socket.socket, dialled: tuple[str, int] | None, newcomer: Newcomer | None = None,
         opened: Callable[[Session], None] = lambda session: None,
     ) -> str:  # fmt: skip
-        """Runs a link to its end. Returns why it never came to greetings, which the replica is not told of."""
+        """Runs a link to its end. Returns why it never came to greetings: the replica is not told of that."""
         link = Link(sock, self._secret, self._replica.store.node)
         try:
             async with newcomer.within(HANDS_S) if newcomer else asyncio.timeout(HANDS_S):
