--- a/tests/spread_fleet.py
+++ b/tests/spread_fleet.py
@@ -29,6 +29,7 @@
     queues: dict[str, deque[bytes]] = field(default_factory=dict)
     slow: set[str] = field(default_factory=set)  # those that read nothing for now
     octets: int = 0
+    sent: dict[str, int] = field(default_factory=dict)  # octets by who said them
     frames: int = 0
     refusals: list[str] = field(default_factory=list)
 
@@ -139,6 +140,7 @@
                     assert len(payload_or_none) <= FRAME_MOST
                     wire.queues[other].append(payload_or_none)
                     wire.octets += len(payload_or_none)
+                    wire.sent[name] = wire.sent.get(name, 0) + len(payload_or_none)
                     wire.frames += 1
                     if session.closing:
                         # It closes once that is said; the other side may never hear it.
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -239,6 +239,22 @@
     assert fleet.store("a").get("config/shard/9") == fleet.store("b").get("config/shard/8") == {"host": "s-2"}
 
 
+def test_a_change_goes_on_over_every_link_at_once_and_not_back() -> None:
+    fleet = Fleet("abcd", 1)
+    chain = [("a", "b"), ("b", "c"), ("c", "d")]
+    assert fleet.heal(10.0, chain)
+    fleet.run(2.0)
+    before = {ends: dict(fleet.wires[ends].sent) for ends in chain}
+    for number in range(100):
+        fleet.put("a", f"config/{number}", random.Random(number).randbytes(30).hex())
+    fleet.run(0.3)
+    assert fleet.equal(), "before any repair could have begun"
+    for one, other in chain:
+        sent, was = fleet.wires[one, other].sent, before[one, other]
+        assert sent[one] - was[one] > 4000 and sent[other] - was[other] < 600
+        assert not any(session.walks for session in fleet.wires[one, other].sessions.values())
+
+
 def test_a_snapshot_is_taken_up_where_the_link_broke() -> None:
     whole = linked(3000)
     (wire,) = whole.wires.values()
