--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -42,7 +42,7 @@
 LOOK_S, LOOK_MOST_S = 0.25, 10.0  # a root that may not be the only one looks for others each
 LOOK_ALONE_S = 2.0  # and one that has no link at all
 LOOK_REST_S, LOOK_EACH_S = 20.0, 8.0  # the rest look so seldom on average, and longer by so much a member
-FIRST_LOOKS = 3  # a root that has just started looks so often in any case
+FIRST_S = 20.0  # a root that has started so lately looks in any case
 STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
 STRANGER_S = 10.0  # a link whose member is in no view is closed after
 DIAL_S = 30.0  # a dial without an answer counts as failed after
@@ -238,7 +238,7 @@
         self._dialling: dict[Address, float] = {}
         self._suspects: dict[Address, _Suspect] = {}
         self._beats: dict[int, tuple[tuple[int, int], float]] = {}  # by root: the last, and when it came
-        self._started = False
+        self._started, self._first_until = False, 0.0
         self._orphan_at = 0.0
         self._upgrade_at: float | None = None
         self._look_at: float | None = None
@@ -283,8 +283,10 @@
             self._known.add(member.name)
         if was is None or was.incarnation < member.incarnation:
             suspect = self._suspects.get(member.address)
-            if suspect is not None and suspect.losses < FLAPS:
-                del self._suspects[member.address]
+            if suspect is not None:
+                suspect.failures = 0
+                if suspect.losses < FLAPS:
+                    suspect.until = 0.0
             self._look_wait = LOOK_S
 
     def admits(self, member: Member, now: float) -> Refusal | None:
@@ -383,7 +385,7 @@
         if self.standing != MEMBER:
             return []
         if not self._started:
-            self._started = True
+            self._started, self._first_until = True, now + FIRST_S
             self._orphan_at = now + self._rng.uniform(0, SPREAD_S)
             if not self._members:
                 self._look_at = now + self._rng.uniform(0, START_S)
@@ -471,7 +473,7 @@
         if not self._links:
             wanted = bool(members > 1 or strange or self._hints)
         elif port is None and uplink is None:
-            wanted = self.count(now) < members or bool(strange) or self._looks < FIRST_LOOKS
+            wanted = self.count(now) < members or bool(strange) or now < self._first_until
         elif uplink is None:
             wanted = next(self._places.best(), None) is not None
         else:
@@ -570,9 +572,6 @@
     def _spare(self, name: str, link: _Link, uplink: str | None, port: str | None, now: float) -> bool:
         if name in (uplink, port) or (link.told is not None and link.told.port):
             return False
-        if link.told is None:  # no beacons on this link: the order has to do
-            stood = uplink is not None and now - self._links[uplink].since >= STOOD_S
-            return stood and now - link.since >= STRANGER_S
         way = None if port is None else self._links[port]
         root = self._rank if way is None or way.told is None else way.told.rank
         return self._root(link, now) == root and (way is None or now - way.since >= STOOD_S)
--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -30,12 +30,13 @@
 
 SILENT_S = 2.0  # a dead machine or a cut is noticed by silence
 CONNECT_S = 1.0  # and a dial to one fails after
+REST_S = 130.0  # after the last fault nothing is dialled or closed any more
 FLUSH_S = 0.2  # news is gathered for so long
 
 
 class Node:
     def __init__(self, net: Net, member: Member, view: dict[str, Member], seeds: list[Address]) -> None:
-        self.net, self.member, self.view = net, member, dict(view)
+        self.net, self.member, self.view, self.seeds = net, member, dict(view), seeds
         self.view[member.name] = member
         self.removed: dict[str, int] = {}  # by name, the incarnation that was removed
         self.overlay = Overlay(member, seeds, Random(f"{net.seed} {member.name} {member.incarnation}"), net.fanout)
@@ -162,7 +163,11 @@
     def restart(self, node: Node, keeps: bool = True, seeds: Iterable[Address] = ()) -> Node:
         old = node.member
         member = Member(old.name, old.address, old.region, old.zone, old.incarnation + 1)
-        return self.start(member, seeds, dict(node.view) if keeps else None)
+        if not keeps:
+            return self.start(member, seeds)
+        new = self.start(member, seeds, node.view)
+        new.removed = dict(node.removed)
+        return new
 
     def set_cut(self, cut: Callable[[Member, Member], bool]) -> None:
         self.cut = cut
@@ -299,12 +304,14 @@
         return [node for node in self.nodes.values() if node.alive]
 
     def wholes(self, possible: bool = False) -> list[set[str]]:
-        """Members linked together, or that could be."""
+        """Members linked together, or that could be since one knows of the other and the network lets it."""
         nodes = self.alive()
         near: dict[str, set[str]] = {node.member.name: set() for node in nodes}
         if possible:
             for one, other in itertools.combinations(nodes, 2):
-                if not self.cut(one.member, other.member):
+                knows = other.member.name in one.view or other.member.address in one.seeds
+                known = one.member.name in other.view or one.member.address in other.seeds
+                if (knows or known) and not self.cut(one.member, other.member):
                     near[one.member.name].add(other.member.name)
                     near[other.member.name].add(one.member.name)
         else:
@@ -376,3 +383,417 @@
     net.run_until(net.connected, 10)
     net.run(net.now + settle_s)
     return net
+
+
+def order(members: Iterable[Member]) -> list[Member]:
+    return sorted(members, key=lambda m: rank_of(m.region, m.zone, m.name))
+
+
+def zones_of(members: Iterable[Member]) -> tuple[int, int]:
+    """What a tree's crossings are: one less than there are zones, and regions."""
+    zones = {(m.region, m.zone) for m in members}
+    return len(zones) - 1, len({region for region, _ in zones}) - 1
+
+
+def settled(net: Net) -> Callable[[], bool]:
+    """Linked together are just those that can be."""
+    return lambda: net.wholes() == net.wholes(possible=True)
+
+
+def a_tree(net: Net) -> Callable[[], bool]:
+    """No link more than it takes, and none across that another saves."""
+
+    def holds() -> bool:
+        alive = [node.member for node in net.alive()]
+        return (
+            len(net.links) == len(alive) - 1
+            and net.crossings() == zones_of(alive)
+            and net.connected()
+            and all(all(link.up.values()) for link in net.links)
+        )
+
+    return holds
+
+
+def assert_at_rest(net: Net, for_s: float = 60.0, strangers: Iterable[Address] = ()) -> None:
+    dials, closes = len(net.dials), len(net.closes)
+    net.run(net.now + for_s)
+    assert [dial for dial in net.dials[dials:] if dial[2] not in strangers] == [], net.describe()
+    assert net.closes[closes:] == [], net.describe()
+
+
+# The order and the places in it
+
+
+@given(st.sets(st.text(max_size=6), min_size=1, max_size=90), st.integers(2, 9), st.data())
+def test_all_before_one_are_preferred_in_some_order_and_the_level_above_first(names, fanout, data):  # type: ignore[no-untyped-def]
+    ordered = sorted(names)
+    index = data.draw(st.integers(0, len(ordered) - 1))
+    chosen = before(ordered, index, fanout)
+    assert sorted(chosen) == ordered[:index]
+    if index:
+        level = next(at for at in itertools.count() if index < (fanout ** (at + 1) - 1) // (fanout - 1))
+        first, end = ((fanout**at - 1) // (fanout - 1) for at in (level - 1, level))
+        assert set(chosen[: end - first]) == set(ordered[first:end])
+
+
+members_drawn = st.lists(
+    st.builds(
+        lambda number, region, zone: Member(f"m{number}", ("10.0.0.1", number), f"r{region}", f"z{zone}", 1),
+        st.integers(1, 500), st.integers(0, 3), st.integers(0, 6),
+    ),
+    unique_by=lambda member: member.name, min_size=1, max_size=60,
+)  # fmt: skip
+
+
+@settings(max_examples=60)
+@given(members_drawn, st.randoms(use_true_random=False))
+def test_the_best_places_make_one_tree_that_crosses_once_a_zone_whatever_the_history(members, rng) -> None:  # type: ignore[no-untyped-def]
+    links = []
+    for own in members:
+        others = [m for m in members if m is not own]
+        view = Places(own, 8)
+        for member in rng.sample(others, len(others)):
+            view.add(member)
+        for member in rng.sample(others, len(others) // 3):  # seen, removed and seen again
+            view.remove(member)
+            view.add(member)
+        best = list(view.best())
+        lower = {m.name for m in order(members)[: order(members).index(own)]}
+        assert set(best) == lower and len(best) == len(lower)
+        assert set(view.tries()) <= lower and (not lower or next(view.tries()) == best[0])
+        if best:
+            links.append((own, next(m for m in members if m.name == best[0])))
+    # Each has one link to one before it, so there are no circles, and one of all has none: a tree.
+    assert len(links) == len(members) - 1
+    across = [(a, b) for a, b in links if (a.region, a.zone) != (b.region, b.zone)]
+    assert (len(across), sum(a.region != b.region for a, b in across)) == zones_of(members)
+
+
+@pytest.mark.parametrize(("count", "regions", "zones"), [(460, 2, 5), (920, 2, 5), (300, 1, 300), (200, 60, 60)])
+def test_nobody_carries_more_than_the_bound(count: int, regions: int, zones: int) -> None:
+    members = fleet(count, regions, zones)
+    carried: Counter[str] = Counter()
+    for own in members:
+        view = Places(own, 8)
+        for member in members:
+            if member is not own:
+                view.add(member)
+        if (best := next(view.best(), None)) is not None:
+            carried[best] += 1
+    assert max(carried.values()) <= 4 * 8
+
+
+def test_a_newcomer_moves_few() -> None:
+    # With the plain heap's parent, (rank - 1) // fanout, one more member moves a tenth of its zone and up to 80 of 92.
+    members = fleet(93, 1, 1)
+
+    def moved(parent: Callable[[list[str], int], str]) -> list[int]:
+        def parents(some: list[Member]) -> dict[str, str]:
+            names = [member.name for member in order(some)]
+            return {name: parent(names, at) for at, name in enumerate(names) if at}
+
+        whole = parents(members)
+        return [
+            sum(whole.get(name) != now for name, now in parents([m for m in members if m is not one]).items())
+            for one in members
+        ]
+
+    ours = moved(lambda names, at: before(names, at, 8)[0])
+    heap = moved(lambda names, at: names[(at - 1) // 8])
+    assert sum(ours) * 3 < sum(heap) and max(ours) * 3 < max(heap)
+
+
+def test_a_fanout_of_one_is_refused() -> None:
+    with pytest.raises(ValueError, match="fanout"):
+        Overlay(fleet(1)[0], [], Random(1), fanout=1)
+
+
+# One member
+
+
+def test_the_older_of_two_with_one_name_learns_so_and_falls_silent() -> None:
+    own, other = fleet(2)
+    newer = Member(own.name, ("10.9.9.9", 1), own.region, own.zone, 2)
+    for tell in (
+        lambda o: o.saw([newer, other]),
+        lambda o: o.refused(other.address, 0.0, Refusal(SUPERSEDED)),
+        lambda o: o.admits(newer, 0.0),
+    ):
+        overlay = Overlay(own, [other.address], Random(1))
+        overlay.saw([own, other])
+        overlay.linked(other.name, 0.0)
+        tell(overlay)
+        assert overlay.standing == SUPERSEDED
+        assert overlay.to_dial(99.0) == [] and overlay.to_close(0.0) == [other.name]
+        overlay.saw([own, other])  # an older word changes nothing
+        assert overlay.standing == SUPERSEDED
+
+
+def test_who_is_admitted() -> None:
+    own, other, *rest = fleet(60)
+    overlay = Overlay(own, [], Random(1), fanout=2)
+    overlay.saw([own, Member(other.name, other.address, other.region, other.zone, 5), *rest])
+    assert overlay.admits(other, 0.0) == Refusal(SUPERSEDED)
+    assert overlay.admits(own, 0.0) == Refusal(SAME_NAME)
+    for member in rest[: 4 * 2]:
+        assert overlay.admits(member, 0.0) is None
+        overlay.linked(member.name, 0.0)
+    refusal = overlay.admits(rest[20], 0.0)
+    assert refusal is not None and refusal.reason == FULL and refusal.instead
+    assert {m.zone for m in refusal.instead} == {rest[20].zone} and rest[20] not in refusal.instead
+    assert overlay.admits(rest[0], 0.0) is None  # the same again takes its own place
+    overlay.lost(rest[0].name, 0.0)
+    assert overlay.admits(rest[20], 0.0) is None
+
+
+def test_a_removed_member_is_closed_and_a_stranger_in_time() -> None:
+    own, other, stranger = fleet(3)
+    overlay = Overlay(own, [], Random(1))
+    overlay.saw([own, other])
+    overlay.linked(other.name, 0.0)
+    overlay.linked(stranger.name, 0.0)
+    assert overlay.to_close(1.0) == []
+    overlay.saw([own])
+    assert overlay.to_close(1.0) == [other.name]
+    overlay.lost(other.name, 1.0, orderly=True)
+    assert overlay.to_close(9.0) == [] and overlay.to_close(11.0) == [stranger.name]
+    overlay.saw([])
+    assert overlay.standing == REMOVED and overlay.to_dial(20.0) == []
+    overlay.saw([own])  # it was taken in again
+    assert overlay.standing == MEMBER
+
+
+# A fleet, simulated
+
+
+def schedule(seed: int) -> None:
+    """Faults one after another; after each, linked together are all that can be, within the time stated."""
+    rng = Random(f"schedule {seed}")
+    count = rng.choice([2, 3, 4, 5, 7, 9, 12, 17, 24])
+    zones = rng.choice([1, 2, 3, 5])
+    members = fleet(count + 6, rng.choice([r for r in (1, 2, 3) if r <= zones]), zones)
+    seeds = [member.address for member in members[: min(count, 3)]]
+    net = Net(seed, rng.choice([2, 4, 8]))
+    fresh = rng.random() < 0.4
+    for member in members[:count]:
+        net.start(member, seeds, None if fresh else {m.name: m for m in members[:count]})
+    net.run_until(settled(net), 10)
+    spare, odd, cut = members[count:], False, False
+    for _ in range(5):
+        net.run(net.now + rng.choice([0.3, 3, 20]))
+        alive, dead = net.alive(), [node for node in net.nodes.values() if not node.alive]
+        what = rng.choice(
+            ["kill", "kill", "crash", "kills", "restart", "wipe", "regions", "zone", "odd", "heal", "join", "remove"]
+        )
+        if what in ("kill", "crash") and len(alive) > 1:
+            net.kill(rng.choice(alive), machine=what == "kill")
+        elif what == "kills" and len(alive) > 3:
+            for node in rng.sample(alive, len(alive) // 4):
+                net.kill(node)
+        elif what in ("restart", "wipe") and dead:
+            net.restart(rng.choice(dead), what == "restart", seeds)
+        elif what == "regions":
+            net.set_cut(lambda a, b: a.region != b.region)
+        elif what == "zone":
+            zone = rng.choice(alive).member.zone
+            net.set_cut(lambda a, b, zone=zone: (a.zone == zone) != (b.zone == zone))  # type: ignore[misc]
+        elif what == "odd":
+            net.set_cut(pairs_cut(rng.random(), rng.choice([0.1, 0.3, 0.5])))
+        elif what == "heal":
+            net.set_cut(lambda a, b: False)
+        elif what == "join" and spare:
+            net.start(spare.pop(), seeds)
+        elif what == "remove" and len(alive) > 2:
+            gone, by = rng.sample(alive, 2)
+            by.take([], {gone.member.name: gone.member.incarnation}, None)
+            net.run(net.now + 1)
+            net.kill(gone)
+        odd = what == "odd" or odd and what not in ("regions", "zone", "heal")
+        cut = what in ("odd", "regions", "zone") or cut and what != "heal"
+        net.run_until(settled(net), 400 if odd else 45 if cut or what == "heal" else 30)
+        assert net.most_in <= 4 * net.fanout
+    net.set_cut(lambda a, b: False)
+    for node in [node for node in net.nodes.values() if not node.alive]:
+        name, incarnation = node.member.name, node.member.incarnation
+        if all(other.removed.get(name, 0) < incarnation for other in net.alive()):
+            net.restart(node, seeds=seeds)
+    net.run_until(settled(net), 45)
+    assert all(node.overlay.standing == MEMBER for node in net.alive())
+    net.run(net.now + REST_S)
+    assert a_tree(net)(), net.describe()
+    # But for a seed that is no member any more, which the root tries now and then.
+    assert_at_rest(net, strangers=[seed for seed in seeds if seed not in {n.member.address for n in net.alive()}])
+
+
+def pairs_cut(salt: float, share: float) -> Callable[[Member, Member], bool]:
+    """Some pairs can't reach each other, whatever their zones."""
+    cut: dict[tuple[str, str], bool] = {}
+
+    def between(one: Member, other: Member) -> bool:
+        pair = min(one.name, other.name), max(one.name, other.name)
+        if pair not in cut:
+            cut[pair] = Random(f"{salt} {pair}").random() < share
+        return cut[pair]
+
+    return between
+
+
+@pytest.mark.parametrize("block", range(10))
+def test_schedules_of_faults(block: int) -> None:
+    for seed in range(20 * block, 20 * block + 20):
+        schedule(seed)
+
+
+# What is stated of 460 members in 2 regions and 5 zones: docs/design/overlay.md
+
+FLEET, SEEDS = 460, 6
+DEAD_S = 4.0  # a dead member is replaced within, with the silence by which it is noticed
+IN_MOST = 32
+
+
+def test_a_fleet_started_at_once_with_its_copies_is_one_tree_within_seconds() -> None:
+    net = started(fleet(FLEET), 1, settle_s=0)
+    assert net.now <= 3
+    net.run(net.now + 30)
+    assert a_tree(net)() and net.crossings() == (4, 1)
+    assert len(net.dials) <= 1.1 * FLEET and net.busiest() <= IN_MOST and net.most_in <= IN_MOST
+    assert_at_rest(net)
+
+
+@pytest.mark.parametrize("seeds", [SEEDS, 2])
+def test_a_fleet_that_knows_only_its_seeds_does_not_fall_on_them(seeds: int) -> None:
+    members = fleet(FLEET if seeds == SEEDS else FLEET // 4)
+    net = Net(2)
+    for member in members:
+        net.start(member, [seed.address for seed in members[:seeds]])
+    net.run_until(net.connected, 15)
+    net.run_until(a_tree(net), 60)
+    assert net.busiest() <= 64 and net.most_in <= IN_MOST and net.most_links <= 2 * IN_MOST
+    assert len(net.dials) <= 6 * len(members)
+
+
+def test_dead_hubs_a_rack_and_a_zone_are_replaced_within_the_time() -> None:
+    net = started(fleet(FLEET), 4, settle_s=5)
+    heads = {(m.region, m.zone): m for m in reversed(order(node.member for node in net.alive()))}
+    for member in heads.values():  # the busiest there are, one after another
+        net.kill(net.nodes[member.address])
+        net.run_until(net.connected, DEAD_S)
+    zone = [node for node in net.alive() if node.member.zone == "z1"]
+    for node in zone[::4]:
+        net.kill(node)
+    net.run_until(net.connected, DEAD_S)
+    gone = [node for node in net.alive() if node.member.zone == "z1"]
+    for node in gone:
+        net.kill(node)
+    net.run_until(net.connected, DEAD_S)
+    assert net.most_in <= IN_MOST
+    at = net.now
+    net.run(net.now + 20)
+    for node in zone:
+        net.restart(node)
+    net.run_until(net.connected, 10)
+    assert net.busiest(at) <= IN_MOST and net.most_in <= IN_MOST
+
+
+def test_regions_that_meet_again_do_so_over_one_crossing_and_without_a_storm() -> None:
+    net = started(fleet(FLEET), 5, settle_s=5)
+    net.set_cut(lambda a, b: a.region != b.region)
+    net.run_until(lambda: net.connected(2), DEAD_S)
+    net.run(net.now + 120)
+    assert len(net.wholes()) == 2 and net.crossings() == (3, 0)
+    at, dials = net.now, len(net.dials)
+    net.set_cut(lambda a, b: False)
+    net.run_until(net.connected, 30)
+    net.run_until(a_tree(net), 60)
+    assert len(net.dials) - dials <= 20 and net.busiest(at) <= 4
+
+
+def test_a_cut_of_an_hour_is_quiet_and_its_end_is_noticed() -> None:
+    net = started(fleet(12), 6)
+    net.set_cut(lambda a, b: a.region != b.region)
+    net.run(net.now + 60)
+    dials = len(net.dials)
+    net.run(net.now + 3600)
+    assert len(net.dials) - dials <= 2 * 3600 / 7.5 + 3600 / 8  # two roots, and the rest between them
+    net.set_cut(lambda a, b: False)
+    net.run_until(net.connected, 30)
+    net.run(net.now + REST_S)
+    assert a_tree(net)()
+    assert_at_rest(net)
+
+
+def test_a_hub_that_flaps_is_soon_left_alone() -> None:
+    net = started(fleet(40, 1, 1), 7)
+    hub = net.nodes[order(node.member for node in net.alive())[0].address]
+    children = len(hub.links)
+    rounds, counts = 12, []
+    for _ in range(rounds):
+        net.kill(hub, machine=False)
+        net.run(net.now + 3)
+        net.run_until(net.connected, DEAD_S)
+        dials = len(net.dials)
+        hub = net.restart(hub)
+        net.run(net.now + 12)
+        counts.append(sum(dial[2] == hub.member.address for dial in net.dials[dials:]))
+    assert children >= 8 and max(counts) >= 6  # its children do come back to it
+    assert sum(counts[4:]) <= rounds, counts  # but not for ever
+    net.run(net.now + 300)
+    assert a_tree(net)()
+
+
+def test_of_two_with_one_name_the_newer_stays() -> None:
+    members = fleet(20)
+    net = started(members, 8)
+    old = members[7]
+    twin = Member(old.name, ("10.8.8.8", 7000), old.region, old.zone, 2)
+    net.start(twin, [members[0].address])
+    net.run(net.now + 30)
+    assert net.nodes[old.address].overlay.standing == SUPERSEDED
+    assert net.nodes[twin.address].overlay.standing == MEMBER and net.nodes[twin.address].links
+    assert not net.nodes[old.address].links
+    net.kill(net.nodes[old.address])
+    net.run(net.now + REST_S)
+    assert a_tree(net)()
+    # And a ghost of the older that comes later learns it at its first dial.
+    ghost = net.start(Member(old.name, ("10.8.8.9", 7000), old.region, old.zone, 1), [members[0].address])
+    net.run(net.now + 10)
+    assert ghost.overlay.standing == SUPERSEDED and not ghost.links
+    assert net.nodes[twin.address].overlay.standing == MEMBER
+    ghost.alive = False
+    assert a_tree(net)()
+
+
+def test_a_removed_member_that_comes_back_with_its_old_copy_does_no_harm() -> None:
+    members = fleet(20)
+    net = started(members, 9)
+    gone = net.nodes[order(members)[0].address]  # the root
+    net.kill(gone)
+    net.run_until(net.connected, DEAD_S)
+    net.alive()[3].take([], {gone.member.name: gone.member.incarnation}, None)
+    net.run(net.now + REST_S)
+    assert a_tree(net)()
+    assert_at_rest(net)
+    back = net.start(gone.member, [members[1].address], gone.view)
+    net.run(net.now + 10)
+    assert back.overlay.standing == REMOVED and not back.links
+    assert all(gone.member.name not in node.view for node in net.alive() if node is not back)
+    back.alive = False
+    assert a_tree(net)()
+    net.restart(gone)  # with a new incarnation it is taken in
+    net.run(net.now + REST_S)
+    assert a_tree(net)() and len(net.alive()) == 20
+    assert_at_rest(net)
+
+
+def test_who_finds_a_member_full_is_sent_to_others() -> None:
+    members = fleet(60, 1, 2)
+    net = Net(10, fanout=2)
+    for member in members:
+        net.start(member, [members[0].address])
+    net.run_until(net.connected, 40)
+    assert FULL in {reason for _, _, reason in net.refusals}
+    assert net.most_in <= 4 * 2
+    net.run(net.now + REST_S)
+    assert a_tree(net)()
+    assert_at_rest(net)
