--- a/sageturn/store/spread/overlay.py
+++ b/sageturn/store/spread/overlay.py
@@ -41,8 +41,7 @@
 UPGRADE_S = 5.0  # a better place is taken within
 LOOK_S, LOOK_MOST_S = 0.25, 10.0  # a root that may not be the only one looks for others each
 LOOK_ALONE_S = 2.0  # and one that has no link at all
-LOOK_REST_S, LOOK_EACH_S = 20.0, 8.0  # the rest look so seldom on average, and longer by so much a member
-FIRST_S = 20.0  # a root that has started so lately looks in any case
+LOOK_REST_S, LOOK_EACH_S = 10.0, 6.0  # the rest look so seldom on average, and longer by so much a member
 STOOD_S = 3.0  # what replaces a link has stood so long before that is closed
 STRANGER_S = 10.0  # a link whose member is in no view is closed after
 DIAL_S = 30.0  # a dial without an answer counts as failed after
@@ -50,7 +49,7 @@
 HEADS, TRIES = 4, 48  # an orphan tries so many of a wider circle before the rest of a nearer; so many in all
 ROOTS = 64  # whose beats are remembered
 INSTEAD = 8  # members named in a refusal
-ASK_S = 1.0  # ``next_at`` is never later
+ASK_S, QUIET_S = 1.0, 5.0  # ``next_at`` is never later, nor when nothing is pending
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,10 +234,12 @@
         self._known: set[str] = set()  # linked, and in a view since
         self._up: str | None = None  # the best linked of those before this one
         self._up_known = True
+        self._port_name: str | None = None  # as it was at
+        self._port_at: float | None = None
         self._dialling: dict[Address, float] = {}
         self._suspects: dict[Address, _Suspect] = {}
         self._beats: dict[int, tuple[tuple[int, int], float]] = {}  # by root: the last, and when it came
-        self._started, self._first_until = False, 0.0
+        self._started = False
         self._orphan_at = 0.0
         self._upgrade_at: float | None = None
         self._look_at: float | None = None
@@ -258,8 +259,8 @@
             self.standing = SUPERSEDED if newer or self.standing == SUPERSEDED else MEMBER
         elif self._enlisted and self.standing == MEMBER:
             self.standing = REMOVED
-        for name in self._members.keys() - seen.keys():
-            self._drop(self._members[name])
+        for gone in [member for name, member in self._members.items() if name not in seen]:
+            self._drop(gone)
         for name, member in seen.items():
             was = self._members.get(name)
             if was is not member and was != member:
@@ -268,7 +269,7 @@
     def _drop(self, member: Member) -> None:
         del self._members[member.name]
         self._places.remove(member)
-        self._up_known = False
+        self._up_known, self._port_at = False, None
         if self._names.get(member.address) == member.name:
             del self._names[member.address]
 
@@ -278,7 +279,7 @@
         self._members[member.name] = member
         self._names[member.address] = member.name
         self._places.add(member)
-        self._up_known = False
+        self._up_known, self._port_at = False, None
         if member.name in self._links:
             self._known.add(member.name)
         if was is None or was.incarnation < member.incarnation:
@@ -311,7 +312,7 @@
             if suspect := self._suspects.get(dialled):
                 suspect.until, suspect.refusals = now, 0
         self._links[name] = _Link(now, dialled is not None)
-        self._up_known = False
+        self._up_known, self._port_at = False, None
         self._hints.clear()
         if member is not None:
             self._known.add(name)
@@ -324,7 +325,7 @@
         link = self._links.pop(name)
         self._known.discard(name)
         hurry = name == uplink or not self._links
-        self._up_known = False
+        self._up_known, self._port_at = False, None
         member = self._members.get(name)
         if member is not None and not orderly:
             if now - link.since >= CALM_S:
@@ -356,6 +357,7 @@
         if (link := self._links.get(name)) is None:
             return
         link.told = beacon
+        self._port_at = None
         beat = (beacon.incarnation, beacon.beat)
         last = self._beats.get(beacon.rank)
         if last is None or beat > last[0]:
@@ -385,7 +387,7 @@
         if self.standing != MEMBER:
             return []
         if not self._started:
-            self._started, self._first_until = True, now + FIRST_S
+            self._started = True
             self._orphan_at = now + self._rng.uniform(0, SPREAD_S)
             if not self._members:
                 self._look_at = now + self._rng.uniform(0, START_S)
@@ -419,12 +421,12 @@
 
     def next_at(self, now: float) -> float:
         """When to ask again at the latest if nothing is told before."""
-        times = [now + ASK_S]
-        if self.standing == MEMBER:
-            if self._uplink() is None and self._orphan_at > now:
-                times.append(self._orphan_at)
-            times += [at for at in (self._upgrade_at, self._look_at) if at is not None and at > now]
-        return min(times)
+        times = [at for at in (self._upgrade_at, self._look_at) if at is not None and at > now]
+        if self._uplink() is None and self._orphan_at > now:
+            times.append(self._orphan_at)
+        spare = any(link.spare_since is not None for link in self._links.values())
+        pending = spare or bool(times or self._dialling)
+        return min([now + (ASK_S if pending else QUIET_S), *times])
 
     # Dials
 
@@ -473,7 +475,7 @@
         if not self._links:
             wanted = bool(members > 1 or strange or self._hints)
         elif port is None and uplink is None:
-            wanted = self.count(now) < members or bool(strange) or now < self._first_until
+            wanted = self.count(now) < members or bool(strange)
         elif uplink is None:
             wanted = next(self._places.best(), None) is not None
         else:
@@ -497,13 +499,12 @@
             self._look_wait = min(LOOK_MOST_S if self._links else LOOK_ALONE_S, self._look_wait * 2)
         self._looks += 1
         self._look_at = now + (wait * self._rng.uniform(0.75, 1.25) if root else self._late(wait))
-        before = [name for name in self._places.best() if self._eligible(name, now, root)]
-        lower = [self._members[name].address for name in before]
+        free = [name for name in self._places.best() if self._eligible(name, now, root)]
+        lower = [self._members[name].address for name in free]
         others = [a for a in (*strange, *sorted(self._hints)) if self._eligible_address(a, now, root)]
-        if self._links and self.count(now) >= members:
-            return self._stalest(others, now)
-        if root and port is not None:
-            return self._stalest(lower, now)
+        whole = bool(self._links) and self.count(now) >= members
+        if whole:  # it is only for a way up, or for seeds that are no members
+            return self._stalest(lower if port is not None else others, now)
         if lower and self._looks % 2:
             return self._stalest(lower, now)
         if not others or self._rng.random() < 0.5:
@@ -511,7 +512,7 @@
             others = any_one or others
         if not others and not self._links:
             # Alone, and all have failed just now.
-            others = [a for a in (*self._names, *strange, *self._hints) if a not in self._dialling]
+            others = [a for a in (*self._names, *strange, *sorted(self._hints)) if a not in self._dialling]
         return self._stalest(others, now)
 
     def _stalest(self, addresses: Sequence[Address], now: float) -> Address | None:
@@ -561,6 +562,11 @@
 
     def _port(self, now: float) -> str | None:
         """The link that is the way to the root; None if this is it."""
+        if self._port_at != now:
+            self._port_name, self._port_at = self._way(now), now
+        return self._port_name
+
+    def _way(self, now: float) -> str | None:
         best, port = self._rank, None
         uplink = self._uplink()
         for name, link in self._links.items():
