Name the key of every fault in the store's section; slow down two of one name

0.0.0.0 as store.listen would be told to others as this member's address. Two live copies of one name outdid each other's incarnation without end; they now wait 10 s and more, doubling, and the log says so each time.

--- a/sageturn/config.py
+++ b/sageturn/config.py
@@ -166,8 +166,11 @@
         if not isinstance(peer, str):
             raise ConfigError(f"{where}: has the wrong type")
         peers.append(read_address(where, peer))
+    listen = _address(store, "listen")
+    if listen[0] == "0.0.0.0":
+        raise ConfigError(f"{store.path('listen')}: must be an address at which others reach this member")
     return options.SpreadOptions(
-        listen=_address(store, "listen"),
+        listen=listen,
         seeds=tuple(peers),
         secret=read_secret(_secret(store, "secret_file", folder)),
         region=store.get("region", str, ""),
--- a/sageturn/store/spread/replica.py
+++ b/sageturn/store/spread/replica.py
@@ -23,7 +23,7 @@
 from sageturn.store.spread.options import HORIZON_S, OCTETS_PER_S
 from sageturn.store.spread.overlay import Beacon, Member
 from sageturn.store.spread.overlay import Refusal as Turned
-from sageturn.store.spread.pace import Budget
+from sageturn.store.spread.pace import Backoff, Budget
 from sageturn.store.spread.session import (
     AWAY,
     BEAT_S,
@@ -47,6 +47,8 @@
 TICK_S = 5.0
 SETTLE_S = 60.0  # copies of which none is fresh agree after so long that what they hold counts
 CURSORS_MOST = 2048
+GHOST_S, GHOST_MOST_S = 10.0, 600.0
+GHOST_AHEAD = 1 << 40  # some hours of the clock: a ghost of one's own may be that far ahead
 Address = tuple[str, int]
 
 
@@ -112,17 +114,20 @@
         self._tick_at = now
         self._members_changed = True
         self.topology: Topology | None = None
+        # Two that live under one name would outdo each other for ever, and each time at once.
+        self._ghosts = Backoff(GHOST_S, GHOST_MOST_S, rng)
+        self._ghost_at = now
         self._begin()
         store.on_change.append(self._changed)
         store.on_forgotten.append(self._forgotten)
 
-    def _begin(self) -> None:
+    def _begin(self, ahead: int = 1) -> None:
         """A new incarnation: what others remember of an earlier one's sequences does not hold for this."""
         known = self.store.get(self._member_key) or {}
         last = known.get("incarnation", 0) if isinstance(known, dict) else 0
         fresh = int(self.store.wall() * 1000) << 16 | self._rng.getrandbits(16)
         own = max(last if isinstance(last, int) else 0, getattr(self, "changes", Changes(0)).incarnation)
-        self.changes = Changes(max(fresh, own + 1))
+        self.changes = Changes(max(fresh, own + ahead))
         self.members.clear()
         self._tombstones.clear()
         self.removed = {key.removeprefix(REMOVED_KEYS) for key in self.store.keys(REMOVED_KEYS)}
@@ -441,11 +446,12 @@
         if self._members_changed:
             self._members_changed = False
             self.topology.saw(m for m in self.members.values() if m.name not in self.removed)
-        if self.topology.standing == "superseded":
+        if self.topology.standing == "superseded" and now >= self._ghost_at:
+            self._ghost_at = now + self._ghosts.draw()
             log.warning("store: an earlier word of this member counts as newer: a larger incarnation is told")
             for session in self.sessions:
                 session.close("a new incarnation", LATER)
-            self._begin()
+            self._begin(GHOST_AHEAD)
             self.announce()
             assert self.topology is not None
         for name in self.topology.to_close(now):
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -159,7 +159,7 @@
     fleet.put("b", "config/x", None)
     fleet.run(2.0)
     fleet.store("a").forget(["config/x"])
-    fleet.start("c", Store("c", wall=fleet.wall))  # knows neither the key nor the deletion, but a's word of it
+    fleet.start("c", Store("c", wall=fleet.wall))  # knows of neither, but for a's word
     fleet.link("a", "c")
     fleet.run(0.2)
     fleet.put("c", "config/x", "by c")
--- a/tests/test_spread_relay.py
+++ b/tests/test_spread_relay.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import socket
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
@@ -14,6 +16,8 @@
 import pytest
 from spread_fleet import DialSeeds
 
+from sageturn.config import ConfigError, read_operator
+from sageturn.interface import RequestClass, Settings
 from sageturn.net.admission import Admission, Limits
 from sageturn.net.sockets import Connect, connect
 from sageturn.store.frames import Link, read_secret
@@ -368,6 +372,36 @@
     asyncio.run(go())
 
 
+@pytest.mark.parametrize(
+    ("change", "key"),
+    [
+        ({"interval_s": 2.0}, "interval_s: is gone"), ({"octets_per_s": 100}, "octets_per_s"),
+        ({"horizon_s": 5}, "horizon_s"), ({"region": 5}, "region"), ({"zone": None}, "zone"),
+        ({"peers": ["x"]}, r"peers\[0\]"), ({"listen": "0.0.0.0:7400"}, "listen: must be an address"),
+    ],
+)  # fmt: skip
+def test_a_fault_in_the_section_store_names_its_key(tmp_path: Path, change: dict[str, Any], key: str) -> None:
+    (tmp_path / "secret").write_text("word")
+    good = {"listen": "127.0.0.1:0", "peers": ["127.0.0.1:7401"], "secret_file": "secret", "zone": "hue"}
+    file = tmp_path / "operator.json"
+    file.write_text(json.dumps({"store": good}))
+    settings = Settings(classes=(RequestClass("c", 500.0),))
+    replication = read_operator(file, settings).replication
+    assert replication is not None and replication.zone == "hue" and replication.octets_per_s == 27_000.0
+    file.write_text(json.dumps({"store": {**good, **change}}))
+    with pytest.raises(ConfigError, match=f"operator.store.{key}"):
+        read_operator(file, settings)
+
+
+def test_where_no_replicas_are_configured_nothing_of_it_is_read_in() -> None:
+    code = (
+        "import sys, sageturn.__main__, sageturn.relay\n"
+        "assert not [name for name in sys.modules if name.startswith('sageturn.store.spread')]"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+
+
 def test_a_member_tells_operators_which_zone_is_silent() -> None:
     async def story(members: list[Node]) -> None:
         members.append(node("n0", zone="a"))
