--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -684,13 +684,15 @@
     for member in heads.values():  # the busiest there are, one after another
         net.kill(net.nodes[member.address])
         net.run_until(net.connected, DEAD_S)
-    zone = [node for node in net.alive() if node.member.zone == "z1"]
-    for node in zone[::4]:
+    rack = [node for node in net.alive() if node.member.zone == "z1"][::4]
+    for node in rack:
         net.kill(node)
     net.run_until(net.connected, DEAD_S)
-    gone = [node for node in net.alive() if node.member.zone == "z1"]
-    for node in gone:
+    first = order(node.member for node in net.alive())[0]  # the root's zone: all others hang on it
+    zone = [node for node in net.alive() if node.member.zone == first.zone]
+    for node in zone:
         net.kill(node)
+    assert not net.connected()
     net.run_until(net.connected, DEAD_S)
     assert net.most_in <= IN_MOST
     at = net.now
