--- a/tests/test_overlay.py
+++ b/tests/test_overlay.py
@@ -569,6 +569,31 @@
     assert overlay.standing == MEMBER
 
 
+def test_a_link_is_closed_only_after_its_replacement_has_stood_and_told_of_the_same_root() -> None:
+    *lower, own = order(fleet(12, 1, 1))
+    overlay = Overlay(own, [], Random(1))
+    overlay.saw([own, *lower])
+    view = Places(own, 8)
+    for member in lower:
+        view.add(member)
+    best, other = itertools.islice(view.best(), 2)
+    root = rank_of(lower[0].region, lower[0].zone, lower[0].name)
+    overlay.linked(other, 0.0, lower[0].address)
+    overlay.linked(best, 10.0, lower[1].address)
+    closed_at, closes = 10.0, []
+    while not closes:
+        assert closed_at < 40
+        closed_at += 0.25
+        overlay.heard(other, Beacon(root, 1, int(closed_at), False, 12), closed_at)
+        if closed_at >= 15:  # until then the new link may lead elsewhere
+            overlay.heard(best, Beacon(root, 1, int(closed_at), False, 12), closed_at)
+        closes = overlay.to_close(closed_at)
+    assert closes == [other] and 18 <= closed_at <= 22
+    # And never while it is the other's way to the root.
+    overlay.heard(other, Beacon(root, 1, 99, True, 3), closed_at)
+    assert overlay.to_close(closed_at) == []
+
+
 # A fleet, simulated
 
 
@@ -684,13 +709,15 @@
     for member in heads.values():  # the busiest there are, one after another
         net.kill(net.nodes[member.address])
         net.run_until(net.connected, DEAD_S)
-    zone = [node for node in net.alive() if node.member.zone == "z1"]
-    for node in zone[::4]:
+    rack = [node for node in net.alive() if node.member.zone == "z1"][::4]
+    for node in rack:
         net.kill(node)
     net.run_until(net.connected, DEAD_S)
-    gone = [node for node in net.alive() if node.member.zone == "z1"]
-    for node in gone:
+    first = order(node.member for node in net.alive())[0]  # the root's zone: all others hang on it
+    zone = [node for node in net.alive() if node.member.zone == first.zone]
+    for node in zone:
         net.kill(node)
+    assert not net.connected()
     net.run_until(net.connected, DEAD_S)
     assert net.most_in <= IN_MOST
     at = net.now
