--- a/sageturn/store/spread/session.py
+++ b/sageturn/store/spread/session.py
@@ -38,7 +38,9 @@
 FRAME_OVERHEAD = 36  # length and keyed hash (frames.py)
 WINDOW, URGENT_WINDOW = 2, 4  # parts on their way
 LEAST_PART = 4096.0  # octets left in the budget below which no part is begun; a part packs to about so many
-STATES_S = 1.0  # states go together, so often: each alone would cost more for its frame than for itself
+# Live parts of a lane go at least so far apart; the first at once. Each change alone costs more for its frame
+# than for itself, and one by one a burst would use the budget up.
+LIVE_S = (0.05, 1.0)
 ASKED_NODES, ASKED_KEYS = 64, 200
 FEW_KEYS = 32  # a node with no more is answered by its keys
 BEHIND_TIMES = 4  # one that holds so many times less takes a snapshot
@@ -105,7 +107,8 @@
         self.ended_instead: list[list[Any]] = []
         self._claim: bool | None = None  # what this side says of its own freshness in its greeting
         self._said_hello = self._followed = self._acks_due = False
-        self._beat_at = self._states_at = now
+        self._beat_at = now
+        self._live_at = [now for _ in LANES]
         self._held = [Cursor(0, 0, 0) for _ in LANES]
         self._flows: list[list[Range]] | None = None  # by lane: LIVE and BASE
         self._flying: list[tuple[int, int, int]] = []
@@ -192,11 +195,11 @@
         if not self.guest:
             budget = self._replica.budget
             if self._has_part(URGENT, LIVE):
-                at = min(at, budget.when(now, LEAST_PART, urgent=True))
+                at = min(at, max(self._live_at[URGENT], budget.when(now, LEAST_PART, urgent=True)))
             if self._question or self._has_part(URGENT, BASE) or self._has_part(STATES, BASE):
                 at = min(at, budget.when(now, LEAST_PART))
             if self._has_part(STATES, LIVE):
-                at = min(at, max(self._states_at, budget.when(now, LEAST_PART)))
+                at = min(at, max(self._live_at[STATES], budget.when(now, LEAST_PART)))
         return at
 
     def _say(self, now: float, message: dict[str, Any]) -> bytes:
@@ -305,8 +308,7 @@
     def _part(self, now: float, lane: int, kind: int) -> dict[str, Any] | None:
         if not self._has_part(lane, kind):
             return None
-        states = (lane, kind) == (STATES, LIVE) and not self.guest
-        if states and now < self._states_at:
+        if kind == LIVE and now < self._live_at[lane] and not self.guest:
             return None
         assert self._flows is not None and self.hello is not None
         if not self._may_take(now, lane == URGENT and kind == LIVE):
@@ -332,8 +334,8 @@
             flow.seen = revision
         flow.seen = flow.told = at
         self._flying.append((lane, kind, at))
-        if states:
-            self._states_at = now + STATES_S
+        if kind == LIVE:
+            self._live_at[lane] = now + LIVE_S[lane]
         return {"changes": [lane, kind, start, at, records]}
 
     def _may_take(self, now: float, urgent: bool = False) -> bool:
