--- a/sageturn/store/spread/session.py
+++ b/sageturn/store/spread/session.py
@@ -38,9 +38,10 @@
 FRAME_OVERHEAD = 36  # length and keyed hash (frames.py)
 WINDOW, URGENT_WINDOW = 2, 4  # parts on their way
 LEAST_PART = 4096.0  # octets left in the budget below which no part is begun; a part packs to about so many
-# Live parts of a lane go at least so far apart; the first at once. Each change alone costs more for its frame
-# than for itself, and one by one a burst would use the budget up.
-LIVE_S = (0.05, 1.0)
+# Live parts of a lane go at least so far apart on average, a few at once. A change alone costs more for its
+# frame than for itself, and one by one a burst would use the budget up.
+LIVE_S = (0.05, 0.5)
+LIVE_AT_ONCE = 4
 ASKED_NODES, ASKED_KEYS = 64, 200
 FEW_KEYS = 32  # a node with no more is answered by its keys
 BEHIND_TIMES = 4  # one that holds so many times less takes a snapshot
@@ -195,11 +196,11 @@
         if not self.guest:
             budget = self._replica.budget
             if self._has_part(URGENT, LIVE):
-                at = min(at, max(self._live_at[URGENT], budget.when(now, LEAST_PART, urgent=True)))
+                at = min(at, max(self._live_due(URGENT), budget.when(now, LEAST_PART, urgent=True)))
             if self._question or self._has_part(URGENT, BASE) or self._has_part(STATES, BASE):
                 at = min(at, budget.when(now, LEAST_PART))
             if self._has_part(STATES, LIVE):
-                at = min(at, max(self._live_at[STATES], budget.when(now, LEAST_PART)))
+                at = min(at, max(self._live_due(STATES), budget.when(now, LEAST_PART)))
         return at
 
     def _say(self, now: float, message: dict[str, Any]) -> bytes:
@@ -308,7 +309,7 @@
     def _part(self, now: float, lane: int, kind: int) -> dict[str, Any] | None:
         if not self._has_part(lane, kind):
             return None
-        if kind == LIVE and now < self._live_at[lane] and not self.guest:
+        if kind == LIVE and now < self._live_due(lane) and not self.guest:
             return None
         assert self._flows is not None and self.hello is not None
         if not self._may_take(now, lane == URGENT and kind == LIVE):
@@ -335,9 +336,13 @@
         flow.seen = flow.told = at
         self._flying.append((lane, kind, at))
         if kind == LIVE:
-            self._live_at[lane] = now + LIVE_S[lane]
+            self._live_at[lane] = max(now, self._live_at[lane]) + LIVE_S[lane]
         return {"changes": [lane, kind, start, at, records]}
 
+    def _live_due(self, lane: int) -> float:
+        """The generic cell rate algorithm (ITU-T I.371): what was saved up goes at once."""
+        return self._live_at[lane] - (LIVE_AT_ONCE - 1) * LIVE_S[lane]
+
     def _may_take(self, now: float, urgent: bool = False) -> bool:
         return self.guest or self._replica.budget.left(now, urgent) >= LEAST_PART
 
