--- a/sageturn/store/spread/session.py
+++ b/sageturn/store/spread/session.py
@@ -40,7 +40,7 @@
 LEAST_PART = 4096.0  # octets left in the budget below which no part is begun; a part packs to about so many
 # Live parts of a lane go at least so far apart on average, a few at once. A change alone costs more for its
 # frame than for itself, and one by one a burst would use the budget up.
-LIVE_S = (0.05, 0.5)
+LIVE_S = (0.05, 0.25)
 LIVE_AT_ONCE = 4
 ASKED_NODES, ASKED_KEYS = 64, 200
 FEW_KEYS = 32  # a node with no more is answered by its keys
