--- a/sageturn/lab/scale/members.py
+++ b/sageturn/lab/scale/members.py
@@ -101,6 +101,14 @@
     ]
 
 
+def fill(store: Store, records: list[Record]) -> None:
+    """As in a fleet that has been running: its copies are known to hold all. Those of a fleet that never was
+    one have to agree on that first, and each that comes later takes all anew.
+    """
+    store.merge(records)
+    store.set_in_step(store.wall())
+
+
 def store_hash(store: Store) -> str:
     """Equal for equal copies; what each says of itself in ``state/`` included."""
     text = json.dumps(sorted((k, v[0], v[1]) for k, v in store.digest().items()))
@@ -140,7 +148,7 @@
     def _fresh(self, records: list[Record]) -> None:
         self.store = Store(self.name)
         if records:
-            self.store.merge(records)
+            fill(self.store, records)
         self.witness = Witness(self.store, self.held)
 
     def start(self, wipe: bool = False) -> None:
--- a/sageturn/lab/scale/process.py
+++ b/sageturn/lab/scale/process.py
@@ -22,7 +22,7 @@
 from sageturn.core.tasks import end_task
 from sageturn.lab.scale import counting
 from sageturn.lab.scale.lanes import Forwarder, Lane
-from sageturn.lab.scale.members import Hollow, RealMember, preload
+from sageturn.lab.scale.members import Hollow, RealMember, fill, preload
 
 Job = dict[str, Any]
 Answer = Callable[[Job], Awaitable[Any]]
@@ -118,7 +118,7 @@
     member = job["members"][0]
     settled = config.load({"GW_CONFIG": job["config"]}, job["operator"])
     relay = Relay(settled)
-    relay.store.merge(preload(job["whole"]["keys"]))
+    fill(relay.store, preload(job["whole"]["keys"]))
     seat = RealMember(relay, member, job["whole"])
     gc.freeze()
     running: asyncio.Task[None] | None = None
