Keep every shift of the wall clock in bounded memory, so that no endpoint seems older

What callers saw: a relay whose system clock had been stepped 16 times took an endpoint in slow start for up to two hours too old, and sent it a warm endpoint's share.

Cause: WallClockHistory dropped the oldest of 16 shifts. The latest moment that a timestamp may stand for is safe only while the true shift is among those remembered.

Change: the history keeps ranges of shifts. Beyond 16 the two closest ranges become one that covers both, so nothing is ruled out that was seen; merging can only make an endpoint younger.

--- a/sageturn/core/clock.py
+++ b/sageturn/core/clock.py
@@ -4,42 +4,79 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from itertools import pairwise
 
 log = logging.getLogger(__name__)
 
 MIN_STEP_MS = 50.0  # smaller differences are jitter between two readings, or a slewed clock
-MAX_REMEMBERED_STEPS = 16
+MAX_SHIFT_RANGES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class ShiftRange:
+    """Values that a system's clock may have been ahead of the relay's time by, in milliseconds."""
+
+    low_ms: float
+    high_ms: float
+
+    def latest_moment_ms(self, wall_ms: float, now_ms: float) -> float | None:
+        """Return the latest moment up to now that a timestamp may stand for; None if there is none."""
+        if wall_ms - self.high_ms > now_ms:
+            return None
+        return min(wall_ms - self.low_ms, now_ms)
 
 
 class WallClockHistory:
     """Finds the moment that a timestamp of a system's clock stood for, whatever steps came since.
 
     Pure: the readings are passed in. Whether the machine that wrote a timestamp was stepped as well, and
-    when, is not known. Of all moments that it may have stood for by the steps seen here, the latest counts:
+    when, is not known. Of all moments that it may have stood for by the shifts seen here, the latest counts:
     an endpoint that is taken for younger than it is gets less than it bears, and never more.
+
+    No shift that was seen is ever ruled out. Memory is bounded by merging the two closest ranges of shifts
+    into one that covers both, which only makes later moments possible.
     """
 
     def __init__(self) -> None:
-        # How far the system's clock has been ahead of the relay's time, the present value last.
-        self._shifts_ms = [0.0]
+        self._shift_ms = 0.0
+        self.ranges = [ShiftRange(0.0, 0.0)]  # disjoint, in ascending order
 
     @property
     def shift_ms(self) -> float:
         """How many milliseconds the system's clock was ahead of the relay's time at the last reading."""
-        return self._shifts_ms[-1]
+        return self._shift_ms
 
     def record_reading(self, now_ms: float, wall_ms: float) -> None:
         """Record that the system's clock shows ``wall_ms`` at ``now_ms`` of the relay's time."""
         shift_ms = wall_ms - now_ms
-        if abs(shift_ms - self.shift_ms) >= MIN_STEP_MS:
-            self._shifts_ms.append(shift_ms)
-            del self._shifts_ms[:-MAX_REMEMBERED_STEPS]
+        if abs(shift_ms - self._shift_ms) >= MIN_STEP_MS:
+            self._shift_ms = shift_ms
+            self._add(ShiftRange(shift_ms, shift_ms))
+
+    def _add(self, added: ShiftRange) -> None:
+        apart = [each for each in self.ranges if each.high_ms < added.low_ms or each.low_ms > added.high_ms]
+        touching = [each for each in self.ranges if each not in apart]
+        merged = _cover([*touching, added])
+        self.ranges = sorted([*apart, merged], key=lambda each: each.low_ms)
+        if len(self.ranges) > MAX_SHIFT_RANGES:
+            self._merge_closest()
+
+    def _merge_closest(self) -> None:
+        gaps_ms = [after.low_ms - before.high_ms for before, after in pairwise(self.ranges)]
+        index = gaps_ms.index(min(gaps_ms))
+        self.ranges[index : index + 2] = [_cover(self.ranges[index : index + 2])]
 
     def to_relay_ms(self, wall_ms: float, now_ms: float) -> float:
         """Return the relay's time of a timestamp; ``now_ms`` where it is in the future by all clocks."""
-        moments = (wall_ms - shift_ms for shift_ms in self._shifts_ms)
-        return max((moment_ms for moment_ms in moments if moment_ms <= now_ms), default=now_ms)
+        moments = (each.latest_moment_ms(wall_ms, now_ms) for each in self.ranges)
+        return max((moment_ms for moment_ms in moments if moment_ms is not None), default=now_ms)
+
+
+def _cover(ranges: Sequence[ShiftRange]) -> ShiftRange:
+    """Return the smallest range that covers all of these."""
+    return ShiftRange(min(each.low_ms for each in ranges), max(each.high_ms for each in ranges))
 
 
 class Clock:
--- a/tests/core/test_clock.py
+++ b/tests/core/test_clock.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sageturn.core.clock import MIN_STEP_MS, Clock, WallClockHistory
+from sageturn.core.clock import MAX_SHIFT_RANGES, MIN_STEP_MS, Clock, WallClockHistory
 from sageturn.core.start_times import StartTimes
 from sageturn.decision import Endpoint
 
@@ -112,3 +112,34 @@
     times.convert([Endpoint("a", "gone")], is_full=False)
     (again,) = times.convert([restarted], is_full=False)
     assert again.started_at_ms == pytest.approx(converted.started_at_ms)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_clock_that_is_stepped_for_years_makes_no_endpoint_older_and_takes_no_more_memory(
+    seed: int,
+) -> None:
+    # A bounded history of steps forgot the unstepped time, however long it was.
+    rng = random.Random(seed)
+    history = WallClockHistory()
+    shift_s = now_s = 0.0
+    for _ in range(5000):
+        now_s += rng.uniform(0.0, 60.0)
+        if rng.random() < 0.2:
+            shift_s += rng.choice([-HOUR_S, -30.0, -1.0, 1.0, 30.0, HOUR_S])
+        started_s = now_s
+        written_s = started_s if rng.random() < 0.3 else started_s + shift_s
+        now_s += rng.uniform(0.0, 5.0)
+        history.record_reading(now_s * 1000.0, (now_s + shift_s) * 1000.0)
+        converted_ms = history.to_relay_ms(written_s * 1000.0, now_s * 1000.0)
+        assert started_s * 1000.0 - 1.0 <= converted_ms <= now_s * 1000.0
+    assert len(history.ranges) <= MAX_SHIFT_RANGES
+
+
+def test_merged_shifts_leave_an_old_endpoint_its_age() -> None:
+    # Erring towards younger must not go so far that nothing is ever taken for warm.
+    history = WallClockHistory()
+    for step in range(100):
+        history.record_reading(0.0, step * 1000.0)
+    age_ms = 2.0 * HOUR_S * 1000.0
+    assert history.to_relay_ms(-age_ms, 0.0) <= -age_ms + 1.0
+    assert history.to_relay_ms(99.0 * 1000.0 - age_ms, 0.0) <= 100.0 * 1000.0 - age_ms
