Count a start that discovery did not list before as new, whatever its timestamp says

What callers saw: a relay whose clock was an hour ahead when it started took each endpoint that started later for an hour old: no slow start, and nine connections in the first second to two restarted endpoints.

Cause: StartTimes went by the timestamp alone, and such a relay has seen no step of its clock.

Where its timestamp says otherwise the endpoint counts as just started, and the shifts that explain the timestamp enter the clock's history, for the starts after it. Logged as `endpoint clock differs`.

--- a/sageturn/core/clock.py
+++ b/sageturn/core/clock.py
@@ -55,6 +55,10 @@
             self._shift_ms = shift_ms
             self._add(ShiftRange(shift_ms, shift_ms))
 
+    def record_moment(self, wall_ms: float, earliest_ms: float, latest_ms: float) -> None:
+        """Record that a timestamp ``wall_ms`` was written between these moments of the relay's time."""
+        self._add(ShiftRange(wall_ms - latest_ms, wall_ms - earliest_ms))
+
     def _add(self, added: ShiftRange) -> None:
         apart = [each for each in self.ranges if each.high_ms < added.low_ms or each.low_ms > added.high_ms]
         touching = [each for each in self.ranges if each not in apart]
@@ -126,3 +130,17 @@
     def from_wall_ms(self, wall_ms: float) -> float:
         """Return the relay's time of a timestamp by the system's clock, as last read."""
         return self._history.to_relay_ms(wall_ms, self.now_ms())
+
+    def record_recent_start(self, endpoint: str, wall_ms: float, earliest_ms: float) -> None:
+        """Record that a process with the start ``wall_ms`` cannot have started before ``earliest_ms``.
+
+        The clock that wrote the stamp is then known to differ from the relay's time, and all stamps of that
+        clock are converted accordingly from now on.
+        """
+        now_ms = self.now_ms()
+        self._history.record_moment(wall_ms, earliest_ms, now_ms)
+        log.warning(
+            "endpoint clock differs endpoint=%s min_behind_s=%.3f",
+            endpoint,
+            (earliest_ms - wall_ms) / 1000.0,
+        )
--- a/sageturn/core/endpoint_registry.py
+++ b/sageturn/core/endpoint_registry.py
@@ -106,7 +106,7 @@
     async def run(self) -> None:
         """Handle messages until cancelled; the balancer is given the known list first."""
         self._update_readiness()
-        known = self._start_times.convert(self._known.endpoints, is_full=True)
+        known = self._start_times.convert(self._known.endpoints, is_full=True, is_current=False)
         await self._post_event(decision.EndpointListEvent(ListEventKind.STALE, known))
         if self._pushed:
             self._start_watch()
@@ -175,7 +175,9 @@
             len(update.endpoints),
             len(self.states),
         )
-        endpoints = self._start_times.convert(update.endpoints, is_full=update.full)
+        endpoints = self._start_times.convert(
+            update.endpoints, is_full=update.full, confirmed_age_ms=update.confirmed_age_ms
+        )
         kind = ListEventKind.FULL if update.full else ListEventKind.CHANGES
         await self._post_event(decision.EndpointListEvent(kind, endpoints))
 
--- a/sageturn/core/messages.py
+++ b/sageturn/core/messages.py
@@ -118,6 +118,8 @@
     full: bool
     endpoints: list[Endpoint] = field(default_factory=list)
     addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+    # How long before this object its watch had last confirmed the list before it; None if it had not.
+    confirmed_age_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/sageturn/net/discovery_watch.py
+++ b/sageturn/net/discovery_watch.py
@@ -11,6 +11,7 @@
 import logging
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import NoReturn
 
 import httptools
@@ -98,6 +99,7 @@
         self._is_accepted = False  # the response's status is HTTP_OK
         self._is_established = False  # an update has been reported
         self._called_at_s = 0.0  # by the event loop's clock
+        self._alive_at_s = 0.0  # the last sign of life, by the event loop's clock
 
     async def run(self) -> WatchFailed:
         """Make the call and report its updates; returns how it failed. Only a program fault raises."""
@@ -150,7 +152,8 @@
                 raise WatchClosedError("ended")
             await self._on_data(view[:size])
             if self._is_established and self._response.is_alive:
-                deadline_s = loop.time() + IDLE_TIMEOUT_S
+                self._alive_at_s = loop.time()
+                deadline_s = self._alive_at_s + IDLE_TIMEOUT_S
             self._response.is_alive = False
             if self._response.is_complete:
                 raise WatchClosedError("the response was complete")
@@ -178,8 +181,11 @@
             raise parser_error
 
     async def _report(self, update: EndpointListUpdate) -> None:
-        if not self._is_established:
-            took_s = asyncio.get_running_loop().time() - self._called_at_s
+        now_s = asyncio.get_running_loop().time()
+        if self._is_established:
+            update = replace(update, confirmed_age_ms=(now_s - self._alive_at_s) * 1000.0)
+        else:
+            took_s = now_s - self._called_at_s
             log.info("discovery watch established version=%d took_s=%.3f", update.version, took_s)
         await self._on_update(update)
         self._is_established = True
