Leave out a ready endpoint without an address, and name it in the log

What callers saw: discovery lists a ready entry without `addr`, or `known` holds one; each request spent all its attempts on it (`not_sent`, three times), and no line said why.

Cause: EndpointRegistry passed every entry on to the balancer, whether or not an attempt could be sent there.

Change: a ready entry for which neither this list nor an earlier one has an address is left out, and logged as `endpoint has no address`. A change that leaves the address out keeps the one known.

Evidence: the new test in tests/core/test_endpoint_registry.py failed before.

--- a/sageturn/core/endpoint_registry.py
+++ b/sageturn/core/endpoint_registry.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from sageturn import decision
@@ -27,6 +28,25 @@
 MAX_GONE_ADDRESSES = 512  # more than the largest release replaces at once
 
 
+def drop_unaddressed(
+    update: EndpointListUpdate, known_addresses: Mapping[str, tuple[str, int]]
+) -> EndpointListUpdate:
+    """Return the list without ready endpoints that have no address: no attempt can be sent to them.
+
+    Args:
+        update: the list, or its changes.
+        known_addresses: of earlier lists, which hold for an entry without one.
+    """
+    usable = []
+    for endpoint in update.endpoints:
+        is_addressed = endpoint.name in update.addresses or endpoint.name in known_addresses
+        if is_addressed or endpoint.state != EndpointStatus.READY:
+            usable.append(endpoint)
+        else:
+            log.warning("endpoint has no address endpoint=%s version=%d", endpoint.name, update.version)
+    return update if len(usable) == len(update.endpoints) else replace(update, endpoints=usable)
+
+
 class DiscoveryWatcher(Protocol):
     """Holds a watch on the endpoint list open, and reports to ``EndpointRegistry.on_watch_event``."""
 
@@ -65,6 +85,7 @@
         self._start_times = StartTimes(clock or Clock())
         self._mailbox: asyncio.Queue[RegistryMessage] = asyncio.Queue(MAX_QUEUED_MESSAGES)
         self._post_event = post_event
+        known = drop_unaddressed(known, {})
         self._known = known
         self._pushed = pushed
         self.version = known.version
@@ -165,6 +186,7 @@
         # watch continues is set by the new one alone: its source may count otherwise.
         if watch_number == self.watch_number:
             self.version = update.version
+        update = drop_unaddressed(update, self.addresses)
         self.apply_update(update)
         log.info(
             "endpoint list updated version=%d watch=%d replaced=%s full=%s changed=%d listed=%d",
--- a/tests/core/test_endpoint_registry.py
+++ b/tests/core/test_endpoint_registry.py
@@ -4,10 +4,20 @@
 
 import asyncio
 
+import pytest
+
 from sageturn.core.endpoint_registry import MAX_GONE_ADDRESSES, EndpointRegistry
 from sageturn.core.messages import DiscoveryAddressChanged, EndpointListUpdate, WatchFailed
 from sageturn.core.tasks import cancel_and_wait
-from sageturn.decision import DiscoveryFailure, Endpoint, Event
+from sageturn.decision import DiscoveryFailure, Endpoint, EndpointListEvent, Event
+
+ADDRESS = ("127.0.0.1", 9)
+
+
+def listed(event: Event) -> list[Endpoint]:
+    """Returns the endpoints of a list event."""
+    assert isinstance(event, EndpointListEvent)
+    return list(event.endpoints)
 
 
 async def test_endpoints_that_are_gone_are_forgotten_but_for_the_latest() -> None:
@@ -23,6 +33,27 @@
     assert not registry.states and len(registry.addresses) <= MAX_GONE_ADDRESSES + 1
 
 
+async def test_a_ready_endpoint_without_an_address_is_left_out_and_named(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    # Each request spent all its attempts on it, and no line said why.
+    events: asyncio.Queue[Event] = asyncio.Queue()
+    known = EndpointListUpdate(1, True, [Endpoint("a"), Endpoint("b")], {"b": ADDRESS})
+    registry = EndpointRegistry(known, events.put)
+    running = asyncio.ensure_future(registry.run())
+    assert [endpoint.name for endpoint in listed(await events.get())] == ["b"]
+    await registry.on_watch_event(0, EndpointListUpdate(2, False, [Endpoint("b"), Endpoint("c")]))
+    assert [endpoint.name for endpoint in listed(await events.get())] == ["b"]
+    assert registry.states.keys() == {"b"} and registry.is_ready_at("b", ADDRESS)
+    assert [message for message in caplog.messages if "no address" in message] == [
+        "endpoint has no address endpoint=a version=1",
+        "endpoint has no address endpoint=c version=2",
+    ]
+    await registry.on_watch_event(0, EndpointListUpdate(3, False, [Endpoint("c")], {"c": ADDRESS}))
+    assert [endpoint.name for endpoint in listed(await events.get())] == ["c"]
+    await cancel_and_wait(running)
+
+
 class CountingWatcher:
     """Stands in for discovery's client: every watch that is started gets the next number."""
 
