Count a connection that reports a load of 0 once, and only while it is open

What callers saw: an endpoint whose connections report a load of exactly 0 seemed emptier with each report, and got more than its share.

Cause: 0.0 stood for "not reported yet". The count of reporting connections rose with each report while the last one was 0, and fell only where the last one was not 0.

Change: RequestState.reported_load is None until a load was reported.

--- a/sageturn/decision/overload.py
+++ b/sageturn/decision/overload.py
@@ -129,8 +129,8 @@
         if request is None or self._fleet.measures_delay():
             return []
         estimate = endpoint.load
-        estimate.reported_load = estimate.reported_load + load - request.reported_load
-        estimate.reported_count += not request.reported_load
+        estimate.reported_load += load - (request.reported_load or 0.0)
+        estimate.reported_count += request.reported_load is None
         request.load = load
         request.reported_load = load
         self._reported_loads.add(load)
--- a/sageturn/decision/state.py
+++ b/sageturn/decision/state.py
@@ -78,9 +78,10 @@
 
     def forget(self, request: RequestState) -> None:
         """Drop the load of a connection that is no longer established."""
-        if request.reported_load:
+        if request.reported_load is not None:
             self.reported_load -= request.reported_load
             self.reported_count -= 1
+            request.reported_load = None
 
 
 @dataclass(slots=True)
@@ -189,7 +190,7 @@
     attempts: int = 0
     sent_ms: float = 0.0  # when the latest attempt was sent
     is_finished: bool = False  # its client is owed nothing more; only an outcome is still to come
-    reported_load: float = 0.0  # by its connection, if any
+    reported_load: float | None = None  # by its connection; None before it reported one
     execution: Execution | None = None  # None while no attempt may have been executed
 
     def allows(self, endpoint: EndpointState) -> bool:
