Keep the instants of connections whose first one was established at instant 0

What was seen: in the laboratory, whose clock begins at 0, the second connection became the base of all instants, and the first one's age was wrong.

Cause: ConnectionTable took 0.0 for "no connection yet". Change: None stands for it.

Evidence: the new test in tests/rebalance/test_connection_table.py failed before. On a relay's clock, Unix time, it could not happen.

--- a/sageturn/rebalance/connection_table.py
+++ b/sageturn/rebalance/connection_table.py
@@ -46,7 +46,7 @@
         self._allocations = AllocationIndex(NO_ROW)
         self._rows: dict[int, int] = {}  # by request id
         self._free_rows: list[int] = []
-        self._start_ms = 0.0  # what the column of instants counts from
+        self._start_ms: float | None = None  # what the column of instants counts from; None: no row yet
         self._class_tenant_pairs: list[tuple[str, str]] = []
         self._class_tenant_numbers: dict[tuple[str, str], int] = {}
         # The columns.
@@ -97,7 +97,7 @@
         """Adds a connection whose load is not known yet; it replaces one with the same id."""
         if request_id in self._rows:
             self.remove(request_id)
-        if not self._start_ms:
+        if self._start_ms is None:
             self._start_ms = established_ms
         row = self._allocate_row()
         self._ids[row] = request_id
@@ -136,9 +136,10 @@
     def members(self, allocation: GroupAllocation) -> Iterator[ConnectionRow]:
         """Yields the connections of a group at an endpoint, the newest first."""
         row = allocation.first_row
+        start_ms = self._start_ms or 0.0
         while row != NO_ROW:
             class_name, tenant = self._class_tenant_pairs[self._class_tenants[row]]
-            established_ms = self._start_ms + self._established_s[row] * 1000.0
+            established_ms = start_ms + self._established_s[row] * 1000.0
             yield ConnectionRow(self._ids[row], self._clients[row], class_name, tenant, established_ms)
             row = self._next_rows[row]
 
--- a/tests/rebalance/test_connection_table.py
+++ b/tests/rebalance/test_connection_table.py
@@ -4,6 +4,8 @@
 
 from support.rebalance_fleet import make_uneven_fleet
 
+from sageturn.rebalance.connection_table import ConnectionLabels, ConnectionTable
+
 
 def test_the_table_matches_the_connections_after_many_events() -> None:
     fleet = make_uneven_fleet()
@@ -24,3 +26,13 @@
         fleet.end_connection(request_id, "ok")
     assert not table.endpoints and not table.allocations_by_group and len(table) == 0
     assert table.totals.reported_load == 0.0
+
+
+def test_a_first_connection_at_the_clocks_zero_leaves_the_instants_of_later_ones_alone() -> None:
+    # Instant 0 was taken for no connection yet: the second one moved the first, and a third one the second.
+    table = ConnectionTable()
+    instants_ms = {1: 0.0, 2: 5000.0, 3: 9000.0}
+    for request_id, established_ms in instants_ms.items():
+        table.add(established_ms, request_id, "a", ConnectionLabels("c", "t", ""), 0)
+    allocation = table.endpoints["a"].groups[""]
+    assert {row.request_id: row.established_ms for row in table.members(allocation)} == instants_ms
