Force the drain at once when an actor fails while a planned one is under way

What callers saw: after SIGTERM a relay went on placing requests for the whole schedule with a part of itself missing.

Cause: drain() was told once, as it began, whether an actor had failed. Change: it gets the supervisor's event, and each of its waits ends with it.

Evidence: test_a_failed_actor_ends_the_relay_by_a_drain is played a second time with the failure after SIGTERM, which failed before.

--- a/sageturn/core/request_registry.py
+++ b/sageturn/core/request_registry.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import Protocol
 
 from sageturn.core.even_pacer import EvenPacer
@@ -18,6 +19,13 @@
 MIN_CLOSE_TIMEOUT_S = 0.1  # for connections to close where the schedule leaves less
 
 
+async def _wait_until(event: asyncio.Event, timeout_s: float) -> None:
+    """Return once the event is set, or after ``timeout_s`` seconds."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+
+
 class Ingress(Protocol):
     """The relay's listeners, and the accepted connections that have sent no request yet."""
 
@@ -57,22 +65,23 @@
         """Let go of a request that has ended."""
         self._requests.discard(lifecycle)
 
-    async def drain(self, ingress: Ingress, *, at_once: bool = False) -> None:
+    async def drain(self, ingress: Ingress, at_once: asyncio.Event | None = None) -> None:
         """Shut down gracefully. Returns once no request is left, or when the schedule's time is over.
 
         Args:
             ingress: the relay's listeners, closed as the drain is forced.
-            at_once: a part of the relay has failed, so that nothing more may be placed. All that is owed is
-                answered now, and the clients of established connections are asked to reconnect together.
+            at_once: set once a part of the relay has failed, before the drain or during it: nothing more may
+                be placed then. All that is owed is answered, and the clients of established connections are
+                asked to reconnect together. None where no part can fail.
         """
+        at_once = at_once or asyncio.Event()
         self.is_draining = True
         log.info("graceful shutdown began requests=%d", len(self._requests))
         schedule = self.schedule
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        if not at_once:
-            await asyncio.sleep(schedule.migration_start_s)
-            await self._migrate_established(ingress, schedule, started_s)
+        await _wait_until(at_once, schedule.migration_start_s)
+        await self._migrate_established(ingress, schedule, started_s, at_once)
         self._force_drain(ingress)
         deadline_s = started_s + schedule.exit_at_s
         await ingress.wait_closed(max(MIN_CLOSE_TIMEOUT_S, deadline_s - loop.time()))
@@ -80,18 +89,21 @@
             log.error("graceful shutdown incomplete connections=%d", len(self._requests))
 
     async def _migrate_established(
-        self, ingress: Ingress, schedule: ShutdownSchedule, started_s: float
+        self, ingress: Ingress, schedule: ShutdownSchedule, started_s: float, at_once: asyncio.Event
     ) -> None:
-        """Ask the clients of established connections to go elsewhere, evenly over the schedule's time."""
+        """Ask the clients of established connections to go elsewhere, evenly over the schedule's time.
+
+        Returns early where no request is left, or once ``at_once`` is set.
+        """
         loop = asyncio.get_running_loop()
         pacer = EvenPacer()
         migrated_at_s = schedule.migration_start_s + schedule.migration_duration_s
-        while loop.time() - started_s < schedule.forced_drain_at_s:
+        while loop.time() - started_s < schedule.forced_drain_at_s and not at_once.is_set():
             established = self._established_undrained()
             steps_left = max(1.0, (migrated_at_s - (loop.time() - started_s)) / DRAIN_STEP_S)
             for lifecycle in established[: pacer.take_due_count(len(established), steps_left)]:
                 lifecycle.begin_drain()
-            await asyncio.sleep(DRAIN_STEP_S)
+            await _wait_until(at_once, DRAIN_STEP_S)
             is_empty = not self._requests and not ingress.pending_connections()
             if is_empty and loop.time() - started_s > ACCEPT_AFTER_SIGNAL_S:
                 break
--- a/sageturn/relay/relay.py
+++ b/sageturn/relay/relay.py
@@ -228,6 +228,6 @@
         if not shutdown_requested.is_set():  # a signal during the start stops it before it accepts anybody
             self.start()
             await self._actors.wait_until_failed_or(shutdown_requested.wait())
-            await self.request_registry.drain(self.ingress, at_once=self._actors.has_failed)
+            await self.request_registry.drain(self.ingress, self._actors.failed)
         await self.stop()
         self._actors.raise_first_failure()
--- a/sageturn/relay/supervisor.py
+++ b/sageturn/relay/supervisor.py
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self._actors: list[asyncio.Task[None]] = []
         self._first_failure: BaseException | None = None
-        self._failed = asyncio.Event()
+        self.failed = asyncio.Event()  # set once any actor has failed
 
     def spawn(self, name: str, actor_run: Coroutine[None, None, None]) -> None:
         """Run an actor until ``stop``; its failure must not go unseen, whenever it was spawned.
@@ -36,23 +36,18 @@
         log.error("actor failed actor=%s", actor.get_name(), exc_info=error)
         if self._first_failure is None:
             self._first_failure = error
-        self._failed.set()
+        self.failed.set()
 
     async def wait_until_failed_or(self, waiting: Coroutine[None, None, object]) -> None:
         """Return when ``waiting`` does, or once an actor has failed."""
         done = asyncio.ensure_future(waiting)
-        failed = asyncio.ensure_future(self._failed.wait())
+        failed = asyncio.ensure_future(self.failed.wait())
         try:
             await asyncio.wait((done, failed), return_when=asyncio.FIRST_COMPLETED)
         finally:
             await cancel_and_wait(failed)
             await cancel_and_wait(done)
 
-    @property
-    def has_failed(self) -> bool:
-        """Whether any actor has failed."""
-        return self._first_failure is not None
-
     def raise_first_failure(self) -> None:
         """Raise the error of the first actor that has failed, if any has."""
         if self._first_failure is not None:
--- a/tests/relay/test_supervision.py
+++ b/tests/relay/test_supervision.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import signal
 from contextlib import AsyncExitStack
 from pathlib import Path
 
@@ -105,11 +106,13 @@
 
 
 @pytest.mark.usefixtures("virtual_time")
+@pytest.mark.parametrize("is_stopping", [False, True])
 async def test_a_failed_actor_ends_the_relay_by_a_drain(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, is_stopping: bool
 ) -> None:
     # It ended at once: every client that was served was cut off without being asked to come again. Nor may it
-    # go on placing requests for a while, as in a planned drain, with a list that nobody keeps up to date.
+    # go on placing requests for a while, as in a planned drain, with a list that nobody keeps up to date. The
+    # same holds if it fails while a planned drain is under way.
     async def wait_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, line: bytes) -> None:
         await (never_respond if b"waits" in line else echo_lines)(reader, writer, line)
 
@@ -132,6 +135,9 @@
         assert await reader.readline() == b"UP r1\r\n"
         waiting, _ = await send_request(relay.listener.address, encode_request_line(key="waits"))
         await until(lambda: len(endpoint.request_lines) == 2)
+        if is_stopping:
+            signal.raise_signal(signal.SIGTERM)
+            await until(lambda: relay.request_registry.is_draining)
         is_due.set()
         began_s = asyncio.get_running_loop().time()
         assert (await waiting.read()).startswith(b"BUSY")
