End no override before its time where a relay's clock is set forward

What callers saw: a clock set forward, on one relay alone and if only for a moment, ended the overrides that were to end within the step, for good: an endpoint that an operator had taken out of service got connections again.

Cause: the actor passed the system's clock to the registry, which never brings back what has expired.

--- a/sageturn/overrides/actor.py
+++ b/sageturn/overrides/actor.py
@@ -92,9 +92,13 @@
         await self._balancer_actor.post_event(event)
 
     def _read_clock(self) -> float:
-        """Returns milliseconds of Unix time, and updates by how much the system's clock was stepped."""
-        self.registry.wall_clock_shift_ms = self._balancer_actor.clock.read_wall_clock()
-        return self._now_ms()
+        """Returns milliseconds of Unix time, of which no more have passed than by the relay's own time.
+
+        A clock that is set forward must end no override before its time, which would be for good.
+        """
+        wall_clock_shift_ms = self._balancer_actor.clock.read_wall_clock()
+        self.registry.wall_clock_shift_ms = min(0.0, wall_clock_shift_ms)
+        return self._now_ms() - max(0.0, wall_clock_shift_ms)
 
     def is_out_of_service(self, endpoint: str) -> bool:
         """Whether overrides take an endpoint out of service; asked again before a slow set-up goes on."""
@@ -126,7 +130,7 @@
         """Steps whenever the store changes, an expiry passes, or a ramp has its next step. Never returns."""
         while True:
             await self.step()
-            now_ms = self._now_ms()
+            now_ms = self._read_clock()
             next_change_ms = self.registry.next_change_ms(now_ms)
             wait_s = MAX_STEP_INTERVAL_S
             if next_change_ms is not None:
--- a/sageturn/overrides/registry.py
+++ b/sageturn/overrides/registry.py
@@ -18,9 +18,8 @@
 class OverrideRegistry:
     """Keeps overrides by id up to date with the operations in the store, the endpoint list and the time.
 
-    Times are milliseconds of Unix time by the system's clock: expiries are instants of it. A clock that is
-    set back does not bring back what has expired: it stays expired until a later operation extends it. One
-    that is set forward expires at once what is over by then.
+    Times are milliseconds of Unix time: expiries are instants of it. Time that goes back does not bring back
+    what has expired: it stays expired until a later operation extends it.
 
     Updates return the endpoints, as the balancer is to see them, that they have changed.
     """
@@ -33,7 +32,7 @@
         self.recovery_ramps = RecoveryRamps(initial_capacity_ratio, slow_start_ms)
         self.overrides: dict[str, Override] = {}
         self._expired_revisions: dict[str, int] = {}  # by override id: its revision when it expired
-        # What the system's clock shows beyond the relay's time, in which endpoints return. Its owner sets it.
+        # What the time passed in is ahead of the relay's time, in which endpoints return. Its owner sets it.
         self.wall_clock_shift_ms = 0.0
 
     # ------------------------------------------------------------ operations
