Refuse what a configuration used to drop, ignore or name wrongly

What operators saw: fractions of domain, queue, burst, remember, port and sockets were dropped in silence; a lone xmpp.key left clients without TLS; a negative ratio was refused with the wrong bound, `known` of the wrong type with its key twice, and a port such as a superscript 2 in Python's words.

Cause: truncated_integer; a key that was read only together with its certificate; two half checks of a ratio; an error wrapped in itself; isdigit, which accepts digits that int does not.

Evidence: ten new cases, each of which failed before and passes now.

--- a/sageturn/config/fields.py
+++ b/sageturn/config/fields.py
@@ -91,16 +91,9 @@
             raise ConfigError(self.path(key), "must be a whole number")
         return int(value)
 
-    def truncated_integer(self, key: str, default: int, minimum: int = 0) -> int:
-        """Return a number without its fraction."""
-        return int(self.number(key, default, minimum))
-
     def ratio(self, key: str, default: float) -> float:
         """Return a number from 0 to 1."""
-        value = self.number(key, default)
-        if value > 1.0:
-            raise ConfigError(self.path(key), "must be from 0 to 1")
-        return value
+        return self.number(key, default, maximum=1.0)
 
     def one_of(self, key: str, choices: Collection[str], default: str) -> str:
         """Return a string that is among ``choices``."""
--- a/sageturn/config/operator.py
+++ b/sageturn/config/operator.py
@@ -98,9 +98,9 @@
     flows.reject_unknown_keys("collector", "domain", "template_s", "queue")
     return FlowOptions(
         collector=flows.address("collector"),
-        observation_domain=flows.truncated_integer("domain", 1),
+        observation_domain=flows.integer("domain", 1),
         template_interval_s=flows.number("template_s", 30.0, minimum=1.0),
-        max_queued_flows=flows.truncated_integer("queue", 4096, minimum=1),
+        max_queued_flows=flows.integer("queue", 4096, minimum=1),
     )
 
 
@@ -122,7 +122,7 @@
             password=read_secret_file(endpoint, "password_file", folder),
             tls=read_endpoint_context(endpoint, folder),
         ),
-        endpoint_port=endpoint.truncated_integer("port", 0),
+        endpoint_port=endpoint.integer("port", 0),
         login_timeout_s=xmpp.number("negotiate_s", 3.0, minimum=0.1),
         idle_timeout_s=xmpp.number("mute_s", 5.0, minimum=0.1),
     )
@@ -151,7 +151,7 @@
         stop=stop,
         part_per_min=section.ratio("part_per_min", defaults.part_per_min),
         fleet_per_s=section.number("fleet_per_s", defaults.fleet_per_s),
-        burst=section.truncated_integer("burst", defaults.burst, minimum=1),
+        burst=section.integer("burst", defaults.burst, minimum=1),
         least_age_s=section.number("least_age_s", defaults.least_age_s),
         again_s=again_s,
         again_most_s=again_most_s,
@@ -160,7 +160,7 @@
         keep_tenants=frozenset(section.array("keep_tenants", []).names(tenant_names)),
         quiet_hours=_read_quiet_hours(section),
         tick_s=section.number("tick_s", defaults.tick_s, minimum=0.05),
-        remember=section.truncated_integer("remember", defaults.remember, minimum=1),
+        remember=section.integer("remember", defaults.remember, minimum=1),
     )
 
 
--- a/sageturn/config/platform.py
+++ b/sageturn/config/platform.py
@@ -67,7 +67,7 @@
         listen=_read_address(top, environ, "listen", "GW_LISTEN"),
         seed=_read_seed(top),
         limits=ProcessLimits(
-            sockets=limits.truncated_integer("sockets", 1024, minimum=32),
+            sockets=limits.integer("sockets", 1024, minimum=32),
             memory_mb=limits.number("memory_mb", 192.0, minimum=1),
         ),
         settings=_read_settings(top),
@@ -118,8 +118,9 @@
 def _read_known_endpoints(top: ConfigSection) -> EndpointListUpdate:
     if not top.contains("known"):
         return EndpointListUpdate(0, full=True)
+    known = top.json_object("known")
     try:
-        return parse_endpoint_list(top.json_object("known"))
+        return parse_endpoint_list(known)
     except ValueError as error:  # InvalidEndpointListError and InvalidAddressError
         raise ConfigError("known", str(error)) from error
 
--- a/sageturn/config/tls.py
+++ b/sageturn/config/tls.py
@@ -5,6 +5,7 @@
 import ssl
 from pathlib import Path
 
+from sageturn.config.errors import ConfigError
 from sageturn.config.fields import ConfigSection
 from sageturn.config.files import file_errors_named
 
@@ -12,6 +13,8 @@
 def read_server_context(xmpp: ConfigSection, folder: Path) -> ssl.SSLContext | None:
     """Return the context for clients; None where no certificate is configured. Raises ConfigError."""
     if not xmpp.contains("certificate"):
+        if xmpp.contains("key"):
+            raise ConfigError(xmpp.path("key"), f"needs {xmpp.path('certificate')}")
         return None
     context = _new_context(xmpp, "certificate", ssl.PROTOCOL_TLS_SERVER)
     with file_errors_named(xmpp, "certificate"):
--- a/sageturn/net/addresses.py
+++ b/sageturn/net/addresses.py
@@ -17,7 +17,8 @@
         InvalidAddressError: ``text`` has another form, or no port from 0 to 65535.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) < PORT_COUNT:
+    is_number = port.isascii() and port.isdigit()  # isdigit() alone accepts digits that int() does not
+    if not host or not is_number or int(port) >= PORT_COUNT:
         raise InvalidAddressError(f"{text!r} is not HOST:PORT")
     return host, int(port)
 
--- a/tests/config/test_loader.py
+++ b/tests/config/test_loader.py
@@ -56,7 +56,10 @@
         ({}, {"GW_LISTEN": "nowhere"}, "GW_LISTEN: 'nowhere' is not HOST:PORT"),
         ({"seed": "xyz"}, {}, "seed: must be hexadecimal"),
         ({"limits": {"sockets": 8}}, {}, "limits.sockets: must be from 32 to 1e+09"),
+        ({"limits": {"sockets": 64.5}}, {}, "limits.sockets: must be a whole number"),
         ({"known": {"version": "1"}}, {}, "known: version: '1'"),
+        ({"known": 5}, {}, "known: has the wrong type"),
+        ({"listen": "127.0.0.1:²"}, {}, "listen: '127.0.0.1:²' is not HOST:PORT"),
         ({}, {"SAGETURN_LOG": "loud"}, "SAGETURN_LOG: must be DEBUG, INFO, WARNING or ERROR"),
         ({}, {"GW_CONFIG": ""}, "GW_CONFIG: is missing"),
         ({}, {"GW_CONFIG": "/absent.json"}, "GW_CONFIG: /absent.json: No such file or directory"),
@@ -70,6 +73,26 @@
     assert str(error.value) == message
 
 
+@pytest.mark.parametrize(
+    ("content", "message"),
+    [
+        ({"flows": {"collector": "127.0.0.1:5", "domain": 1.5}}, "flows.domain: must be a whole number"),
+        ({"flows": {"collector": "127.0.0.1:5", "queue": 10.5}}, "flows.queue: must be a whole number"),
+        ({"rebalance": {"burst": 2.5}}, "rebalance.burst: must be a whole number"),
+        ({"rebalance": {"remember": 2.5}}, "rebalance.remember: must be a whole number"),
+        ({"rebalance": {"part_per_min": -0.1}}, "rebalance.part_per_min: must be from 0 to 1"),
+        ({"xmpp": {"listen": "127.0.0.1:0", "key": "a"}}, "xmpp.key: needs operator.xmpp.certificate"),
+    ],
+)
+def test_error_in_the_operators_file_names_the_key(tmp_path: Path, content: JsonObject, message: str) -> None:
+    # Fractions were dropped without a word, and a key without its certificate left the clients without TLS.
+    operator_file = tmp_path / "operator.json"
+    operator_file.write_text(json.dumps(content))
+    with pytest.raises(ConfigError) as error:
+        load(write(tmp_path), str(operator_file))
+    assert str(error.value) == f"operator.{message}"
+
+
 def test_keys_needing_restart_are_those_a_running_relay_cannot_change(tmp_path: Path) -> None:
     operator_file = tmp_path / "operator.json"
     operator_file.write_text("{}")
--- a/tests/net/test_addresses.py
+++ b/tests/net/test_addresses.py
@@ -20,7 +20,9 @@
     assert parse_address(text) == address
 
 
-@pytest.mark.parametrize("text", ["", "127.0.0.1", ":80", "host:", "host:-1", "host:65536", "host:http"])
+@pytest.mark.parametrize(
+    "text", ["", "127.0.0.1", ":80", "host:", "host:-1", "host:65536", "host:http", "host:²"]
+)
 def test_any_other_text_is_refused(text: str) -> None:
     with pytest.raises(InvalidAddressError, match=r"^'.*' is not HOST:PORT$"):
         parse_address(text)
