Forget that a record was rejected once it is deleted

What operators saw: `override set` deletes what a relay rejects, and the relay's state went on listing it under `refused` until its restart.

Cause: OperationLog.apply forgot accepted operations only. Change: a deletion forgets the rejection too.

Evidence: the new test in tests/overrides/test_operations.py, which passes now.

--- a/sageturn/overrides/operation_log.py
+++ b/sageturn/overrides/operation_log.py
@@ -49,7 +49,8 @@
         for key, value in records:
             override_id = key.removeprefix(KEY_PREFIX).partition("/")[0]
             known = self._operations.get(override_id, {})
-            if value is None:  # deleted when the override's history was cleaned up
+            if value is None:  # deleted as it was rejected, or with the override's history
+                self.rejected_records.pop(key, None)
                 if known.pop(key, None) is not None:
                     changed_ids[override_id] = None
             elif key not in known:
--- a/tests/overrides/test_operations.py
+++ b/tests/overrides/test_operations.py
@@ -86,6 +86,16 @@
     assert driver.state("a") == "ready" and key in driver.rejected_records
 
 
+def test_a_rejected_record_that_is_deleted_is_not_reported_any_more() -> None:
+    # The command deletes what a relay rejects; the relay went on reporting it until its restart.
+    key, value = make_signed_record(make_operation("o1", make_out_of_service("a")))
+    driver = RegistryDriver()
+    driver.apply_records(OverrideRecord(key, {**value, "until_ms": START_MS + 9 * HOUR_MS}))
+    assert key in driver.rejected_records
+    driver.apply_records(OverrideRecord(key, None))
+    assert driver.rejected_records == {}
+
+
 @st.composite
 def operations_on_one_override(draw: st.DrawFn) -> OverrideOperation:
     operation_type = draw(
