Refuse command arguments that were ignored, and create no store by a mistyped path

Cause: options of other kinds were not looked at; an empty expiry counted as none; opening a log creates it and its folder.

Change: such options are refused by name; a revocation has no expiry instead of an empty one; reading needs an existing log, writing its folder.

--- a/sageturn/cli/override.py
+++ b/sageturn/cli/override.py
@@ -98,6 +98,12 @@
     selector = _parse_selector(override_kind, attributes, pinned_endpoints=to)
     if this_start and not endpoint:
         fail(ExitCode.USAGE, "--this-start needs --host")
+    kind_options: dict[OverrideKind, dict[str, object]] = {
+        OverrideKind.WEIGHT: {"--factor": factor},
+        OverrideKind.OUT_OF_SERVICE: {"--move-off": move_off},
+        OverrideKind.PIN: {"--strict": strict, "--class": class_name, "--tenant": tenant, "--group": group},
+    }
+    _reject_options_of_other_kinds(override_kind, kind_options)
     key = load_private_key(key_file)
     if override_kind is OverrideKind.WEIGHT and not factor:
         fail(ExitCode.USAGE, "--factor is needed")
@@ -124,6 +130,16 @@
     return OverrideKind(text)
 
 
+def _reject_options_of_other_kinds(
+    kind: OverrideKind, kind_options: dict[OverrideKind, dict[str, object]]
+) -> None:
+    """Ends the command if an option is given that the kind has no use for: it would be ignored."""
+    for other_kind, options in kind_options.items():
+        for name, value in options.items():
+            if value and other_kind is not kind:
+                fail(ExitCode.USAGE, f"{name} is for {other_kind.value} only")
+
+
 def _parse_selector(
     kind: OverrideKind, options: dict[SelectorAttribute, str], pinned_endpoints: list[str] | None
 ) -> Selector | None:
--- a/sageturn/cli/override_requests.py
+++ b/sageturn/cli/override_requests.py
@@ -87,13 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OverrideUpdate:
-    """An extension or revocation; ``expiry`` is as the operator wrote it, and empty for a revocation."""
+    """An extension or revocation; ``expiry`` is as the operator wrote it, and None for a revocation."""
 
     override_id: str
     type: OperationType
     operator: str
     reason: str
-    expiry: str = ""
+    expiry: str | None = None
 
     def submit(self, connection: DaemonConnection, key: Ed25519PrivateKey) -> SubmissionResult:
         """Checks that the override can be updated, and writes the update."""
@@ -104,13 +104,14 @@
             if override.is_revoked:
                 revoked_by = override.revoked_by
                 fail(ExitCode.REFUSED, f"{self.override_id}: was revoked by {revoked_by}, and stays so")
-            operation = self._make_operation(override.revision + 1, now_ms)
+            operation = self.make_operation(override.revision + 1, now_ms)
             check_form(operation, key)
             return await submit(store, operation, key)
 
         return connection.run(check_and_submit)
 
-    def _make_operation(self, revision: int, now_ms: float) -> OverrideOperation:
+    def make_operation(self, revision: int, now_ms: float) -> OverrideOperation:
+        """Returns the operation that makes the change. Raises InvalidTimeError for a wrong expiry."""
         return OverrideOperation(
             override_id=self.override_id,
             type=self.type,
@@ -118,6 +119,6 @@
             created_at_ms=now_ms,
             operator=self.operator,
             reason=self.reason,
-            expires_at_ms=parse_expiry(self.expiry, now_ms) if self.expiry else 0.0,
+            expires_at_ms=0.0 if self.expiry is None else parse_expiry(self.expiry, now_ms),
             nonce=new_nonce(),
         )
--- a/sageturn/cli/store.py
+++ b/sageturn/cli/store.py
@@ -27,24 +27,42 @@
 
 
 class StoreAccess(Protocol):
-    """Gives access to a store for one action."""
+    """Gives access to a store for one action.
 
-    def run(self, action: Callable[[Store], Result]) -> Result:
-        """Runs the action on the store. Returns its result.
+    Its methods return the action's result. The command ends with a message if the store cannot be read or
+    written.
+    """
 
-        The command ends with a message if the store cannot be read or written.
-        """
+    def read(self, action: Callable[[Store], Result]) -> Result:
+        """Runs an action that writes nothing."""
+
+    def write(self, action: Callable[[Store], Result]) -> Result:
+        """Runs an action that may write; where there is no store yet, it is created."""
 
 
 @dataclass(frozen=True, slots=True)
 class LocalStoreAccess:
-    """Opens the log of a daemon that is not running; writes are made under the name of ``node``."""
+    """Opens the log of a daemon that is not running; writes are made under the name of ``node``.
+
+    A path that was mistyped must not create an empty store in another place.
+    """
 
     path: Path
     node: str
 
-    def run(self, action: Callable[[Store], Result]) -> Result:
-        """Runs the action on the opened log, and closes it; ends the command where that fails."""
+    def read(self, action: Callable[[Store], Result]) -> Result:
+        """Runs the action on a log that exists; ends the command where there is none."""
+        if not self.path.is_file():
+            fail(ExitCode.NOT_FOUND, f"{self.path}: there is no such log")
+        return self._run(action)
+
+    def write(self, action: Callable[[Store], Result]) -> Result:
+        """Runs the action; creates the log, but no folder for it."""
+        if not self.path.parent.is_dir():
+            fail(ExitCode.NOT_FOUND, f"{self.path.parent}: there is no such folder")
+        return self._run(action)
+
+    def _run(self, action: Callable[[Store], Result]) -> Result:
         try:
             store = Store(self.node, self.path)
             try:
@@ -61,7 +79,7 @@
 
     connection: DaemonConnection
 
-    def run(self, action: Callable[[Store], Result]) -> Result:
+    def read(self, action: Callable[[Store], Result]) -> Result:
         """Runs the action on a copy of the daemon's store; ends the command where that fails."""
 
         async def run_action(store: Store) -> Result:
@@ -72,6 +90,10 @@
         except (OSError, InvalidRecordError, LogCorruptedError) as error:
             fail(ExitCode.REFUSED, str(error))
 
+    def write(self, action: Callable[[Store], Result]) -> Result:
+        """Runs the action as ``read`` does; what it writes reaches the daemon."""
+        return self.read(action)
+
 
 def _access(context: typer.Context) -> StoreAccess:
     access: StoreAccess = context.obj
@@ -98,13 +120,13 @@
 @app.command("keys")
 def list_keys(context: typer.Context, prefix: Annotated[str, typer.Argument()] = "") -> None:
     """The keys that begin so."""
-    print("\n".join(_access(context).run(lambda store: store.keys(prefix))))
+    print("\n".join(_access(context).read(lambda store: store.keys(prefix))))
 
 
 @app.command("get")
 def get_value(context: typer.Context, key: KeyArgument) -> None:
     """A value, as JSON."""
-    value = _access(context).run(lambda store: store.get(key))
+    value = _access(context).read(lambda store: store.get(key))
     if value is None:
         fail(ExitCode.NOT_FOUND, f"{key}: not there")
     print(json.dumps(value))
@@ -119,13 +141,13 @@
         decoded = json.loads(value)
     except ValueError as error:
         fail(ExitCode.USAGE, f"value: not JSON: {error}")
-    _access(context).run(lambda store: store.put(key, decoded))
+    _access(context).write(lambda store: store.put(key, decoded))
 
 
 @app.command("delete")
 def delete_value(context: typer.Context, key: KeyArgument) -> None:
     """Take a value out."""
-    _access(context).run(lambda store: store.put(key, None))
+    _access(context).write(lambda store: store.put(key, None))
 
 
 @app.command("account")
@@ -139,4 +161,4 @@
     """Make an XMPP account; the password is read from standard input."""
     password = getpass.getpass() if sys.stdin.isatty() else sys.stdin.readline().rstrip("\n")
     record = make_account_record(password, class_name, tenant, group)
-    _access(context).run(lambda store: store.put(ACCOUNT_KEY_PREFIX + name, record))
+    _access(context).write(lambda store: store.put(ACCOUNT_KEY_PREFIX + name, record))
