Let faults of the laboratory that kill the same relay overlap

What was seen: two overlapping faults that remove the same relay ended in a ValueError, and the end of the first one brought all relays back.

Cause: ZoneFrontend removed a relay that it had removed before, and any fault's end restored all. Change: relays return once all such faults are over.

Evidence: the new test in tests/lab/test_lab.py passes: more requests are refused than in the first fault alone, about as many as in one of both lengths.

--- a/sageturn/lab/faults/fault_injection.py
+++ b/sageturn/lab/faults/fault_injection.py
@@ -37,6 +37,7 @@
         self._frontend = frontend
         self._step_s = step_s
         self._affected: dict[int, list[str]] = {}  # names of the hosts, by the index of the fault
+        self._relay_faults: set[int] = set()  # in effect, by index: relays return once all are over
 
     def advance(self, now_s: float) -> list[Instruction]:
         """Starts and ends the faults that are due in the step that begins now. Returns the instructions."""
@@ -108,6 +109,7 @@
         rng = np.random.Generator(np.random.PCG64([self._spec.seed, RELAY_SELECTION_STREAM, index]))
         killed = sorted(int(relay) for relay in rng.choice(self._spec.relays, count, replace=False))
         self._frontend.remove_relays(killed)
+        self._relay_faults.add(index)
         return [steps.KillRelays(killed)]
 
     # ------------------------------------------------------------ ends
@@ -131,6 +133,9 @@
             case FaultKind.FLAP:
                 self._hosts.publish(self._hosts.named(names), now_s)
             case FaultKind.RELAYS:
+                self._relay_faults.discard(index)
+                if self._relay_faults:
+                    return []
                 self._frontend.restore_relays()
                 return [steps.RestartRelays(self._hosts.full_list())]
         return []
--- a/sageturn/lab/model/zone_frontend.py
+++ b/sageturn/lab/model/zone_frontend.py
@@ -23,10 +23,10 @@
         return live[sampler.index_below(len(live))]
 
     def remove_relays(self, relays: Iterable[int]) -> None:
-        """Stops sending clients to these relays."""
+        """Stops sending clients to these relays; to some of them it may have stopped before."""
         for relay in relays:
             live = self._live_relays[self._spec.zone(relay)]
-            if len(live) > 1:
+            if len(live) > 1 and relay in live:
                 live.remove(relay)
 
     def restore_relays(self) -> None:
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -120,6 +120,17 @@
     return simulate(spec, variant, seconds, faults=faults)
 
 
+def test_faults_that_kill_the_same_relay_may_overlap_and_it_returns_after_the_last() -> None:
+    # The second one ended in a ValueError, and the end of the first brought all relays back.
+    faults = [ScheduledFault(FaultKind.RELAYS, start_s, 6.0, part=1.0) for start_s in (5.0, 8.0)]
+    overlapping = simulate_day(*faults)
+    first_alone, both_as_one = (
+        simulate_day(ScheduledFault(FaultKind.RELAYS, 5.0, length_s, part=1.0)) for length_s in (6.0, 9.0)
+    )
+    refused = [day.counts["refused"] for day in (first_alone, overlapping, both_as_one)]
+    assert refused[0] < refused[1] and refused[1] == pytest.approx(refused[2], rel=0.1)
+
+
 @pytest.mark.parametrize("kind", list(FaultKind))
 def test_each_fault_does_harm_of_its_own_and_is_over(kind: FaultKind) -> None:
     calm = simulate_day()
