Have the soak play signals and clock steps in series, and kill at the earliest

Need: signals in series, steps of single relays' clocks before their start and while they run, and the kill at the platform's earliest were not played.

Change: each plan draws them by random numbers of their own, so seeds keep their storms. SIGKILL comes 2.7 s after SIGTERM instead of 3.0.

--- a/sageturn/lab/soak/auditor.py
+++ b/sageturn/lab/soak/auditor.py
@@ -230,7 +230,7 @@
         for silence in self._plan.faults_of(FaultKind.DISCOVERY_SILENT):
             if silence.begin_s <= known_s < silence.begin_s + NOTIFICATION_DEADLINE_S:
                 known_s = silence.begin_s + NOTIFICATION_DEADLINE_S
-        for reload in self._plan.faults_of(FaultKind.RELAY_RELOAD):
+        for reload in self._plan.reloads():
             is_own = relay is not None and reload.target == relay.relay
             if is_own and reload.begin_s <= known_s < reload.begin_s + RELOAD_DEADLINE_S:
                 known_s = reload.begin_s + RELOAD_DEADLINE_S
--- a/sageturn/lab/soak/plan.py
+++ b/sageturn/lab/soak/plan.py
@@ -22,6 +22,10 @@
 STORM_FAULT_COUNT = 3
 EFFECTS = (Effect.SAFE, Effect.SAFE, Effect.KEYED, Effect.UNSAFE)  # drawn from; half of the plans are safe
 HOUR_S = 3600.0
+CLOCK_STEPS_S = (-HOUR_S, -5.0, 5.0, HOUR_S)
+CLOCK_STEPS_PER_RELAY = 3  # while it runs, in a series
+SERIES_SPAN_S = (2.0, 11.0)  # in which series begin
+BEFORE_START_S = -60.0
 NEVER_S = 1e9  # stands for infinity, which JSON does not have
 SLOW_START_WINDOW_S = 2.0  # in which the attempts at an endpoint in slow start are limited
 WARM_UP_S = 5.0  # length of the slow start
@@ -68,14 +72,29 @@
     DISCOVERY_PIECES = "discovery_pieces"
     CLIENT_BURST = "client_burst"
     CLIENT_FAULTS = "client_faults"
+    RELAY_SIGNALS = "relay_signals"  # several signals shortly after one another
+    RELAY_CLOCK = "relay_clock"  # steps of one relay's clock, the first of them before its start
 
 
+class SignalSeries(StrEnum):
+    """Signals that a relay gets shortly after one another."""
+
+    RELOADS = "reloads"  # SIGHUP, several times
+    RELOAD_AND_STOP = "reload_and_stop"  # SIGHUP, and SIGTERM at once
+    STOP_TWICE = "stop_twice"  # SIGTERM, and again while the relay drains
+
+
+# Drawn for every plan beside its storms, by random numbers of their own: seeds keep their storms.
+SERIES_KINDS = (FaultKind.RELAY_SIGNALS, FaultKind.RELAY_CLOCK)
+STORM_KINDS = tuple(kind for kind in FaultKind if kind not in SERIES_KINDS)
+
 SHIMS = (
     FaultKind.ACCEPT_ERRORS,
     FaultKind.CONNECT_ERRORS,
     FaultKind.SHORT_IO,
     FaultKind.DISK_ERRORS,
     FaultKind.CLOCK_STEP,
+    FaultKind.RELAY_CLOCK,
 )
 
 
@@ -87,7 +106,7 @@
     end_s: float
     target: int = -1
     value: float = 0.0
-    mode: str = ""  # of EndpointMode, for a fault of the kind ENDPOINT_MODE
+    mode: str = ""  # an EndpointMode or a SignalSeries, for ENDPOINT_MODE or RELAY_SIGNALS
 
     def is_active(self, at_s: float) -> bool:
         """Whether the fault is in effect ``at_s`` seconds after the run's start."""
@@ -146,6 +165,11 @@
         """Returns the faults of these kinds, in order of time."""
         return [fault for fault in self.faults if fault.kind in kinds]
 
+    def reloads(self) -> list[ScheduledFault]:
+        """Returns the faults that send a relay SIGHUP with another discovery, in order of time."""
+        faults = self.faults_of(FaultKind.RELAY_RELOAD, FaultKind.RELAY_SIGNALS)
+        return [fault for fault in faults if fault.mode != SignalSeries.STOP_TWICE]
+
     def wall_shift_s(self, at_s: float) -> float:
         """Returns by how much the system's clock is ahead ``at_s`` seconds after the run's start."""
         return sum(step.value for step in self.faults_of(FaultKind.CLOCK_STEP) if at_s >= step.begin_s)
@@ -211,18 +235,38 @@
             )
             self._incarnations[place] = incarnation
         for storm_s in (self._rng.uniform(2.5, 4.0), self._rng.uniform(7.0, 8.5)):
-            for kind in self._storm or self._rng.sample(list(FaultKind), STORM_FAULT_COUNT):
+            for kind in self._storm or self._rng.sample(STORM_KINDS, STORM_FAULT_COUNT):
                 self._add(kind, storm_s + self._rng.uniform(0.0, 1.0))
         self._add(FaultKind.CLIENT_FAULTS, 0.5)
         self._add(self._rng.choice([FaultKind.ENDPOINT_DRAIN, FaultKind.ENDPOINT_CRASH]), 5.5)
+        self._add_series(Random(f"{self._plan.seed}/series"))
         self._plan.incarnations += self._incarnations.values()
         self._plan.faults.sort(key=lambda fault: fault.begin_s)
         return self._plan
 
+    def _add_series(self, rng: Random) -> None:
+        """Adds series of signals at some relays, and series of clock steps at others."""
+        relays = range(self._plan.size.relays)
+        count = max(1, len(relays) // 4)
+        for relay in rng.sample(relays, count):
+            at_s = rng.uniform(*SERIES_SPAN_S)
+            mode = rng.choice(list(SignalSeries)).value
+            self._record(ScheduledFault(FaultKind.RELAY_SIGNALS, at_s, at_s + 1.0, relay, mode=mode))
+        for relay in rng.sample(relays, count):
+            instants_s = [
+                BEFORE_START_S,
+                *(rng.uniform(*SERIES_SPAN_S) for _ in range(CLOCK_STEPS_PER_RELAY)),
+            ]
+            for at_s in instants_s:
+                step_s = rng.choice(CLOCK_STEPS_S)
+                self._record(ScheduledFault(FaultKind.RELAY_CLOCK, at_s, NEVER_S, relay, step_s))
+
     def _add(self, kind: FaultKind, at_s: float) -> None:
         rng = self._rng
         size = self._plan.size
         length_s = rng.uniform(0.5, 2.5)
+        if kind in SERIES_KINDS:
+            return  # every plan has them
         if kind in (FaultKind.ENDPOINT_DRAIN, FaultKind.ENDPOINT_CRASH):
             for place in rng.sample(range(size.endpoints), max(1, size.endpoints // rng.choice([3, 6]))):
                 self._end_incarnation(place, at_s + rng.uniform(0.0, 0.5), kind)
@@ -231,7 +275,7 @@
                 mode = rng.choice(list(EndpointMode)).value
                 self._record(ScheduledFault(kind, at_s, at_s + length_s, place, mode=mode))
         elif kind is FaultKind.CLOCK_STEP:
-            step_s = rng.choice([-HOUR_S, -5.0, 5.0, HOUR_S])
+            step_s = rng.choice(CLOCK_STEPS_S)
             self._record(ScheduledFault(kind, at_s, NEVER_S, value=step_s))
         elif kind.value.startswith(("relay", "accept", "connect", "short", "disk")):
             self._add_relay_fault(kind, at_s, length_s)
--- a/sageturn/lab/soak/relays.py
+++ b/sageturn/lab/soak/relays.py
@@ -14,14 +14,24 @@
 from pathlib import Path
 
 from sageturn.lab.loopback.ports import reserve_port
-from sageturn.lab.soak.plan import REQUEST_TIMEOUT_S, FaultKind, ScheduledFault, SoakPlan, relay_settings
+from sageturn.lab.soak.plan import (
+    REQUEST_TIMEOUT_S,
+    FaultKind,
+    ScheduledFault,
+    SignalSeries,
+    SoakPlan,
+    relay_settings,
+)
 from sageturn.lab.soak.records import RelayRecord
 from sageturn.net.json_stream import JsonObject
 
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.03
 FRONTEND_DELAY_S = 0.3  # after SIGTERM, in which the frontend still sends clients
-KILL_AFTER_S = REQUEST_TIMEOUT_S + 0.7 + 0.3  # from SIGTERM to SIGKILL; 0.3 s more than the platform's
+KILL_AFTER_S = REQUEST_TIMEOUT_S + 0.7  # from SIGTERM to SIGKILL: the platform's earliest
+REPEATED_SIGNAL_DELAY_S = 0.4  # between two SIGTERM
+SERIES_RELOADS = 4
+SERIES_RELOAD_INTERVAL_S = 0.01
 MAX_DESCRIPTORS = 512
 MIN_SIGNAL_AGE_S = 0.15  # of a process, by which its interpreter handles signals
 MIN_DESCRIPTORS = 32  # the lowest limit that the settings allow
@@ -108,15 +118,22 @@
                 writer.close()
         return False
 
-    async def terminate(self) -> None:
-        """Sends SIGTERM, and waits for the process's end; kills it where that takes too long."""
+    async def terminate(self, *, is_repeated: bool = False) -> None:
+        """Sends SIGTERM, and waits for the process's end; kills it where that takes too long.
+
+        With ``is_repeated`` the signal is sent a second time during the drain.
+        """
         process, record = self._running()
         record.terminated_s = time.monotonic()
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(FRONTEND_DELAY_S)
         self.is_admitted = False
+        if is_repeated:
+            await asyncio.sleep(REPEATED_SIGNAL_DELAY_S - FRONTEND_DELAY_S)
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(KILL_AFTER_S - FRONTEND_DELAY_S):
+            async with asyncio.timeout(record.terminated_s + KILL_AFTER_S - time.monotonic()):
                 await process.wait()
         except TimeoutError:
             process.kill()
@@ -218,11 +235,27 @@
                 relay.reload(BAD_CONFIGURATIONS[fault.target % len(BAD_CONFIGURATIONS)])
                 await asyncio.sleep(length_s)
                 relay.reload(good)
+            case FaultKind.RELAY_SIGNALS if relay.age_s > MIN_SIGNAL_AGE_S:
+                await self._send_series(SignalSeries(fault.mode), relay)
             case FaultKind.RELAY_HOLD:
                 await relay.suspend(length_s)
             case FaultKind.RELAY_DESCRIPTORS:
                 await relay.lower_descriptor_limit(length_s)
 
+    async def _send_series(self, series: SignalSeries, relay: SoakRelay) -> None:
+        async with relay.lifecycle_lock:
+            if relay.age_s < MIN_SIGNAL_AGE_S:  # another fault has just started it anew
+                return
+            if series is not SignalSeries.STOP_TWICE:
+                count = SERIES_RELOADS if series is SignalSeries.RELOADS else 1
+                for _ in range(count):
+                    self._write_config(relay, 1)
+                    relay.reload(relay.config_file.read_text())
+                    await asyncio.sleep(SERIES_RELOAD_INTERVAL_S)
+            if series is not SignalSeries.RELOADS:
+                await relay.terminate(is_repeated=series is SignalSeries.STOP_TWICE)
+                await self._start(relay)
+
     async def _start(self, relay: SoakRelay) -> None:
         self._write_config(relay, 0)
         await relay.start()
--- a/sageturn/lab/soak/shims.py
+++ b/sageturn/lab/soak/shims.py
@@ -21,6 +21,7 @@
 DISK_ERRNOS = (errno.ENOSPC, errno.EIO)
 FAILURE_RATIO = 0.4  # of the calls while a fault is in effect
 MAX_SHORT_BYTES = 9
+CLOCK_KINDS = (FaultKind.CLOCK_STEP, FaultKind.RELAY_CLOCK)
 SOCKET_ARGUMENTS = 4  # of the constructor, with the descriptor of an existing socket as the last
 
 
@@ -130,7 +131,7 @@
 
         def shimmed() -> float:
             at_s = time.monotonic() - self._started_s
-            steps = (fault for fault in self._faults if fault.kind is FaultKind.CLOCK_STEP)
+            steps = (fault for fault in self._faults if fault.kind in CLOCK_KINDS)
             return wall_clock() + sum(step.value for step in steps if at_s >= step.begin_s)
 
         time.time = shimmed
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -19,6 +19,7 @@
 from sageturn.lab.soak.plan import (
     NEVER_S,
     FaultKind,
+    SignalSeries,
     SoakPlan,
     SoakSize,
     Variant,
@@ -50,6 +51,20 @@
         assert len(kinds) >= 3
 
 
+def test_every_plan_has_signals_and_clock_steps_in_series_at_single_relays() -> None:
+    for seed in range(50):
+        plan = draw_plan(seed, SoakSize())
+        signals = plan.faults_of(FaultKind.RELAY_SIGNALS)
+        assert len(signals) == SoakSize().relays // 4
+        assert {SignalSeries(fault.mode) for fault in signals} <= set(SignalSeries)
+        steps: dict[int, list[float]] = {}
+        for fault in plan.faults_of(FaultKind.RELAY_CLOCK):
+            steps.setdefault(fault.target, []).append(fault.begin_s)
+        assert len(steps) == SoakSize().relays // 4
+        assert all(len(instants) == 4 and min(instants) < 0.0 for instants in steps.values())
+        assert plan.wall_shift_s(1.0) == 0.0 or plan.faults_of(FaultKind.CLOCK_STEP)
+
+
 def test_variants_change_the_deployment_and_nothing_that_is_drawn() -> None:
     usual = draw_plan(7, SoakSize())
     changed = draw_plan(7, SoakSize(), variants=list(Variant))
