Let a request past a relay's quota after it has rejected all for three seconds

What callers saw: a relay that held its quota of connections rejected everybody until one connection ended.

Change: after 12 rejections and 3 s without an attempt the next request is let past the relay's quota (decision/rejection_streak.py).

--- a/sageturn/decision/admission.py
+++ b/sageturn/decision/admission.py
@@ -60,9 +60,7 @@
 
     def setup_wait_ms(self, now_ms: float) -> float:
         """Return 0 if another set-up may start, else the time after which to retry."""
-        fleet = self._fleet
-        # Connections on draining endpoints do not count: their clients find room elsewhere.
-        if fleet.totals.open_count + 1 > fleet.max_connections + fleet.rounding_offset:
+        if self._fleet.is_at_quota():
             return QUOTA_RETRY_AFTER_MS
         return self.setup_window.wait_ms(now_ms)
 
--- a/sageturn/decision/balancer.py
+++ b/sageturn/decision/balancer.py
@@ -112,6 +112,7 @@
             return
         timeout_ms = self._attempt_timeout_ms(now_ms, request)
         request.begin_attempt(endpoint, now_ms)
+        self.fleet.rejection_streak.end()
         self.admission.setup_window.begin_setup()
         self.fleet.count_attempt(endpoint, 1, 1)
         self.fleet.count_connection(request, 1)
@@ -132,6 +133,8 @@
     def _end(self, request: RequestState, retry_after_ms: float, cause: RejectCause) -> None:
         """Answer the request finally: rejected if a retry is harmless by its class, else failed."""
         self.reject_cause = cause
+        if not request.attempts:
+            self.fleet.rejection_streak.record_rejection(self.fleet.now_ms)
         if request.request_class.is_rejectable(request.execution is not None):
             advice_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms) * jitter(self._rng)
             advice_ms = min(self.settings.max_retry_after_ms, advice_ms)
--- a/sageturn/decision/eligibility.py
+++ b/sageturn/decision/eligibility.py
@@ -17,7 +17,8 @@
     def begin_request(self, request: RequestState) -> None:
         """Evaluate what is the same for all endpoints; called before a request is placed."""
         fleet = self._fleet
-        if request.midflow or fleet.max_connections == float("inf"):
+        is_unlimited = fleet.max_connections == float("inf")
+        if request.midflow or is_unlimited or fleet.may_exceed_quota():
             self._is_warm_quota_exhausted = False
             return
         # The part of the quota that is meant for endpoints in slow start is kept for them.
--- a/sageturn/decision/fleet.py
+++ b/sageturn/decision/fleet.py
@@ -9,6 +9,7 @@
 from sageturn.decision.events import AttemptStatus
 from sageturn.decision.fleet_size import FleetSize
 from sageturn.decision.health_checks import HealthCheckScheduler
+from sageturn.decision.rejection_streak import RejectionStreak
 from sageturn.decision.settings import Settings
 from sageturn.decision.state import EndpointState
 
@@ -45,6 +46,7 @@
         self.health_checks = health_checks
         self.machine_speeds = quotas.MachineKindSpeeds()
         self.size = FleetSize()
+        self.rejection_streak = RejectionStreak()
         self.total_weight = 1.0  # effective weights of the ready endpoints
         self.mean_nominal_weight = 1.0
         self.warm_weight_ratio = 1.0  # of the total weight, what is not in slow start
@@ -67,6 +69,16 @@
             return self.settings.relay_count
         return min(self.settings.relay_count, max(1.0, self.quota_per_endpoint()))
 
+    def is_at_quota(self) -> bool:
+        """Whether another connection would exceed this relay's quota, and must not for now."""
+        # Connections on draining endpoints do not count: their clients find room elsewhere.
+        is_exceeded = self.totals.open_count + 1 > self.max_connections + self.rounding_offset
+        return is_exceeded and not self.may_exceed_quota()
+
+    def may_exceed_quota(self) -> bool:
+        """Whether the next request is let past this relay's quota, as all have been rejected for long."""
+        return self.rejection_streak.is_overdue(self.now_ms)
+
     def measures_delay(self) -> bool:
         """Whether connections, or recent load reports, tell how long messages take."""
         return self.settings.reports_delay or self.health_checks.has_recent_reports(self.now_ms)
--- a/sageturn/lab/model/policy.py
+++ b/sageturn/lab/model/policy.py
@@ -17,6 +17,7 @@
 # The files that decide, each after those that it imports.
 POLICY_MODULES = (
     "fleet_size",
+    "rejection_streak",
     "fleet",
     "admission",
     "relief",
