--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -26,7 +26,9 @@
 from sageturn.lab.model.fleet_spec import FleetSpec
 from sageturn.lab.model.planner_kind import PlannerKind
 from sageturn.lab.model.policy import POLICY_MODULES, load_policy, read_policy
+from sageturn.lab.model.sampling import ClientSampler
 from sageturn.lab.model.simulation_result import SimulationResult
+from sageturn.lab.model.zone_frontend import ZoneFrontend
 from sageturn.lab.reports.compare import compare, difference
 from sageturn.lab.reports.report import markdown, page
 from sageturn.lab.runner.environment import ratio_answered_in_time
@@ -120,8 +122,19 @@
     return simulate(spec, variant, seconds, faults=faults)
 
 
-def test_faults_that_kill_the_same_relay_may_overlap_and_it_returns_after_the_last() -> None:
-    # The second one ended in a ValueError, and the end of the first brought all relays back.
+def test_a_relay_may_be_removed_by_two_faults() -> None:
+    # The second one ended in a ValueError.
+    spec = FleetSpec(relays=6, hosts=6, initial_hosts=4)
+    frontend = ZoneFrontend(spec)
+    relay = next(number for number in range(spec.relays) if spec.zone(number) == spec.zone(0))
+    for _ in range(2):
+        frontend.remove_relays([relay])
+    sampler = ClientSampler(spec, 0)
+    assert relay not in {frontend.choose_relay(spec.zone(relay), sampler) for _ in range(50)}
+
+
+def test_faults_that_kill_relays_may_overlap_and_the_relays_return_after_the_last() -> None:
+    # The end of the first one brought all relays back.
     faults = [ScheduledFault(FaultKind.RELAYS, start_s, 6.0, part=1.0) for start_s in (5.0, 8.0)]
     overlapping = simulate_day(*faults)
     first_alone, both_as_one = (
