--- a/sageturn/core/start_times.py
+++ b/sageturn/core/start_times.py
@@ -35,7 +35,7 @@
         self._by_endpoint: dict[str, EndpointStart] = {}  # as listed now
         self._relay_ms: dict[EndpointStart, float] = {}  # of these, in the relay's time
         self._former: OrderedDict[EndpointStart, float] = OrderedDict()  # of those not listed any more
-        self._complete_since_ms: float | None = None  # None before discovery's first complete list
+        self._last_list_ms: float | None = None  # relay's time; None before the first complete list
 
     def convert(
         self,
@@ -63,15 +63,15 @@
             converted.append(self._convert(endpoint, earliest_ms))
         for name in unnamed:
             self._retire(name)
-        if is_current and (is_full or self._complete_since_ms is not None):
-            self._complete_since_ms = now_ms
+        if is_current and (is_full or self._last_list_ms is not None):
+            self._last_list_ms = now_ms
         return converted
 
     def _earliest_new_start_ms(self, now_ms: float, confirmed_age_ms: float | None) -> float | None:
         """Return the moment before which no start that is listed for the first time can have been."""
-        if self._complete_since_ms is None:
+        if self._last_list_ms is None:
             return None
-        confirmed_ms = self._complete_since_ms
+        confirmed_ms = self._last_list_ms
         if confirmed_age_ms is not None:
             confirmed_ms = max(confirmed_ms, now_ms - confirmed_age_ms)
         return confirmed_ms - MAX_LIST_DELAY_MS
