Start the soak's relays by the shell that the deploy file has

Cause: the second SIGHUP of `relay_bad_reload` came 0.10 s after a restart of the same relay, before the program's first statement. That is the fault that the deploy file's shell mends; the soak started relays without it.

Change: the soak starts them by the same shell, and a test compares the two.

--- a/sageturn/lab/soak/relays.py
+++ b/sageturn/lab/soak/relays.py
@@ -34,6 +34,8 @@
 SERIES_RELOAD_INTERVAL_S = 0.01
 MAX_DESCRIPTORS = 512
 MIN_SIGNAL_AGE_S = 0.15  # of a process, by which its interpreter handles signals
+# As `run` of the deploy file: SIGHUP is ignored until the program handles it.
+START_SHELL = ("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh")
 MIN_DESCRIPTORS = 32  # the lowest limit that the settings allow
 SPARE_DESCRIPTORS = 3  # between the open descriptors and a lowered limit
 BAD_CONFIGURATIONS = ("", "{", '{"name": 5}', '{"name":"x","listen":"nowhere"}', "[]")
@@ -92,6 +94,7 @@
         arguments = [str(self.number), str(self._plan_file), "--operator", str(self.folder / "operator.json")]
         with (self.folder / f"log-{len(self.records)}").open("wb") as log:
             self._process = await asyncio.create_subprocess_exec(
+                *START_SHELL,
                 sys.executable,
                 "-m",
                 "sageturn.lab.soak.shimmed_relay",
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import msgspec
@@ -26,8 +27,11 @@
     draw_plan,
     relay_settings,
 )
+from sageturn.lab.soak.relays import START_SHELL
 from sageturn.lab.soak.report import play_all
 
+ROOT = Path(__file__).parents[2]
+
 SMALL = SoakSize(relays=2, hosts=2, requests_per_s=20.0)
 # Timing on a machine that is busy with other tests is judged by the soak itself, which runs alone.
 TIMELESS_RULES = {
@@ -141,6 +145,13 @@
     assert expected <= set(ast.literal_eval(found)) and (stepped == "True") == (trouble == "clock_step")
 
 
+def test_relays_are_started_by_the_shell_of_the_deploy_file() -> None:
+    # A reload in the first moments of a process ended it: without the shell nothing ignored the signal yet.
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    shell_part = START_SHELL[2].removesuffix(' exec "$@"')
+    assert run.startswith(f"{shell_part} exec ")
+
+
 @pytest.mark.parametrize("variants", [[], list(Variant)])
 def test_a_small_run_serves_and_keeps_the_rules(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, variants: list[Variant]
