Wait for an event or a time by one function

Need: the drain's new wait stood twice already, in the overrides' actor and in the dialer of replicas.

Change: wait_for_event in sageturn/core/tasks.py serves all three; nothing behaves otherwise.

Measured: the tests of pages, relay, overrides, both frontends, close reasons, sockets, replication over sockets, import circles and the rebalancing relay, 517, pass, with linter, formatter and types.

--- a/sageturn/core/request_registry.py
+++ b/sageturn/core/request_registry.py
@@ -5,12 +5,12 @@
 import asyncio
 import logging
 from collections.abc import Iterator
-from contextlib import suppress
 from typing import Protocol
 
 from sageturn.core.even_pacer import EvenPacer
 from sageturn.core.request_lifecycle import RequestLifecycle
 from sageturn.core.shutdown_schedule import ShutdownSchedule
+from sageturn.core.tasks import wait_for_event
 
 log = logging.getLogger(__name__)
 
@@ -19,13 +19,6 @@
 MIN_CLOSE_TIMEOUT_S = 0.1  # for connections to close where the schedule leaves less
 
 
-async def _wait_until(event: asyncio.Event, timeout_s: float) -> None:
-    """Return once the event is set, or after ``timeout_s`` seconds."""
-    with suppress(TimeoutError):
-        async with asyncio.timeout(timeout_s):
-            await event.wait()
-
-
 class Ingress(Protocol):
     """The relay's listeners, and the accepted connections that have sent no request yet."""
 
@@ -80,7 +73,7 @@
         schedule = self.schedule
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        await _wait_until(at_once, schedule.migration_start_s)
+        await wait_for_event(at_once, schedule.migration_start_s)
         await self._migrate_established(ingress, schedule, started_s, at_once)
         self._force_drain(ingress)
         deadline_s = started_s + schedule.exit_at_s
@@ -103,7 +96,7 @@
             steps_left = max(1.0, (migrated_at_s - (loop.time() - started_s)) / DRAIN_STEP_S)
             for lifecycle in established[: pacer.take_due_count(len(established), steps_left)]:
                 lifecycle.begin_drain()
-            await _wait_until(at_once, DRAIN_STEP_S)
+            await wait_for_event(at_once, DRAIN_STEP_S)
             is_empty = not self._requests and not ingress.pending_connections()
             if is_empty and loop.time() - started_s > ACCEPT_AFTER_SIGNAL_S:
                 break
--- a/sageturn/core/tasks.py
+++ b/sageturn/core/tasks.py
@@ -1,9 +1,10 @@
-"""Cancelling tasks reliably, and waiting for a deadline that may move meanwhile."""
+"""Cancelling tasks reliably, and waiting for a deadline that may move meanwhile or for an event."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 
@@ -20,6 +21,13 @@
         task.exception()
 
 
+async def wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
+    """Return once the event is set, or after ``timeout_s`` seconds."""
+    with suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+
+
 async def sleep_until_elapsed(remaining_s: Callable[[float], float]) -> None:
     """Return once ``remaining_s``, given the loop's time, is 0 or less; it is called after each sleep."""
     loop = asyncio.get_running_loop()
--- a/sageturn/overrides/actor.py
+++ b/sageturn/overrides/actor.py
@@ -5,12 +5,12 @@
 import asyncio
 import logging
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 from typing import Protocol
 
 from sageturn import decision
 from sageturn.core.balancer_actor import BalancerActor
 from sageturn.core.endpoint_snapshot import EndpointRestrictions
+from sageturn.core.tasks import wait_for_event
 from sageturn.overrides.audit import AuditAction, AuditEvent
 from sageturn.overrides.operation_log import OverrideRecord
 from sageturn.overrides.operations import KEY_PREFIX
@@ -135,9 +135,7 @@
             wait_s = MAX_STEP_INTERVAL_S
             if next_change_ms is not None:
                 wait_s = min(MAX_STEP_INTERVAL_S, max(0.0, (next_change_ms - now_ms) / 1000.0))
-            with suppress(TimeoutError):
-                async with asyncio.timeout(wait_s):
-                    await self._wake_up.wait()
+            await wait_for_event(self._wake_up, wait_s)
 
     async def step(self) -> None:
         """Applies pending changes, expires what is over, and posts to the balancer what that changes."""
--- a/sageturn/store/replication/link_dialer.py
+++ b/sageturn/store/replication/link_dialer.py
@@ -6,9 +6,8 @@
 import logging
 import socket
 import time
-from contextlib import suppress
 
-from sageturn.core.tasks import cancel_and_wait
+from sageturn.core.tasks import cancel_and_wait, wait_for_event
 from sageturn.net.connecting import ConnectFailure, connect
 from sageturn.store.replication.errors import LinkNotEstablishedError
 from sageturn.store.replication.link_runner import LinkRunner
@@ -41,9 +40,7 @@
                 task = asyncio.ensure_future(self._dial(address))
                 self._dials.add(task)
                 task.add_done_callback(self._dials.discard)
-            with suppress(TimeoutError):
-                async with asyncio.timeout(max(0.0, result.next_tick_at - now)):
-                    await self._tick_due.wait()
+            await wait_for_event(self._tick_due, max(0.0, result.next_tick_at - now))
 
     def _tick(self, now: float) -> TickResult:
         """Returns what a tick calls for; a tick that fails, as on a full disk, is repeated soon."""
