--- a/sageturn/core/request_attempts.py
+++ b/sageturn/core/request_attempts.py
@@ -58,16 +58,24 @@
             )
             await self._established.run(attempt, endpoint)
             return True
-        self._record_failure(attempt, endpoint, close_reason, started_ms)
+        self.record_failure(attempt, endpoint, close_reason, started_ms)
         if close_reason in CLIENT_CAUSED_REASONS or context.drain_forced.is_set():
             await self._abort(attempt, endpoint, close_reason)
             return True
         await context.post_outcome(attempt, endpoint, close_reason, final=False)
         return False
 
-    def _record_failure(
+    def record_failure(
         self, attempt: int, endpoint: str, close_reason: CloseReason, started_ms: float
     ) -> None:
+        """Record, count and log an attempt that was not established.
+
+        Args:
+            attempt: index of the attempt, counted from 0.
+            endpoint: name of its endpoint.
+            close_reason: reason for the failure.
+            started_ms: time at which the attempt began, in the relay's time.
+        """
         context = self._context
         context.record.close_reason = close_reason
         context.balancer_actor.counters.failed_attempts[close_reason.name.lower()] += 1
--- a/sageturn/core/request_counters.py
+++ b/sageturn/core/request_counters.py
@@ -26,11 +26,13 @@
 
     requests: int = 0
     established: int = 0
+    adopted: int = 0  # established connections that an earlier process of the relay had established
     attempts: int = 0
     failed_attempts: Counter[str] = field(default_factory=Counter)  # number by close reason
     blocked_sends: Counter[str] = field(default_factory=Counter)  # number by ``SendBlock``
     rejected: Counter[str] = field(default_factory=Counter)  # number by cause
     failed: Counter[str] = field(default_factory=Counter)  # number by cause
+    failed_adoptions: Counter[str] = field(default_factory=Counter)  # number by the last close reason
 
     def count_response(self, response: FinalResponse) -> None:
         """Count a final response, i.e. a request that is not served."""
--- a/sageturn/relay/counter_report.py
+++ b/sageturn/relay/counter_report.py
@@ -36,7 +36,7 @@
         counters = self._balancer_actor.counters
         log.info(
             "request counters requests=%d established=%d attempts=%d failed_attempts=%s blocked_sends=%s"
-            " rejected=%s failed=%s invariant_violations=%s",
+            " rejected=%s failed=%s invariant_violations=%s adopted=%d failed_adoptions=%s",
             counters.requests,
             counters.established,
             counters.attempts,
@@ -45,4 +45,6 @@
             format_counts(counters.rejected),
             format_counts(counters.failed),
             format_counts(self._balancer_actor.monitor.violations),
+            counters.adopted,
+            format_counts(counters.failed_adoptions),
         )
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -25,10 +25,10 @@
     make_endpoint_list,
     running_server,
     send_request,
-    wait_until_ready,
     write_config,
 )
 from support.ports import Address, find_free_port
+from support.relay_process import running_relay_process
 
 
 @asynccontextmanager
@@ -48,21 +48,12 @@
         file = write_config(
             folder, discovery.address, known, listen=f"{address[0]}:{address[1]}", **config_fields
         )
-        environ = {**os.environ, "GW_CONFIG": str(file)}
+        environment = {}
         if variable_and_key is not None:
             variable, key = variable_and_key
-            environ[variable] = json.loads(file.read_text())[key]
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "sageturn", env=environ, stderr=log
-        )
-        try:
-            async with asyncio.timeout(10):
-                await wait_until_ready(address)
+            environment[variable] = json.loads(file.read_text())[key]
+        async with running_relay_process(file, address, log, environment) as process:
             yield process, address
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
 
 
 @pytest.mark.timeout(30)
