Pace the attempts of an adoption that did not arrive, up to the protocol's 40 s

What callers saw: where the endpoint refused connections for 0.3 or 3 s, or was listed 1 s after the client came, the client got ERR lost within milliseconds.

Cause: a retry loop without a pause in core/connection_adoption.py: attempts that did not arrive followed each other at once and shared the limit of the settings, and a refused connection was not repeated at all.

Change: decision/adoption.py, pure and seeded, plans the attempts: those that did not arrive are repeated after 100 ms doubling to 2 s with jitter, until 40 s after the client came or its own deadline. They take no part in the attempt limit, which the protocol counts by arrival. The wait ends with the client or a forced drain, and an endpoint that drains or was removed gets no second attempt.

--- a/sageturn/core/attempt_guard.py
+++ b/sageturn/core/attempt_guard.py
@@ -68,6 +68,10 @@
         """Count the attempt in flight as ended: its connection was closed or is established."""
         self._open_attempts -= 1
 
+    def discount_attempt(self) -> None:
+        """Stop counting the attempt that has just ended: its request cannot have arrived anywhere."""
+        self._attempts -= 1
+
     def may_send(self, now_ms: float, first_execution_ms: float | None) -> bool:
         """Return whether the request may be written to an endpoint now; report the violation if not.
 
--- a/sageturn/core/balancer_actor.py
+++ b/sageturn/core/balancer_actor.py
@@ -20,6 +20,7 @@
 )
 from sageturn.core.request_counters import RequestCounters
 from sageturn.core.request_directory import RequestDirectory
+from sageturn.decision.adoption import AdoptionPlanner
 from sageturn.decision.balancer import Balancer
 
 log = logging.getLogger(__name__)
@@ -68,6 +69,7 @@
         self.classes = {cls.name: cls for cls in settings.classes}
         self.clock = clock
         self._balancer = Balancer(settings, seed)
+        self.adoption_planner = AdoptionPlanner(settings, seed)
         self._request_watch = request_watch
         self._mailbox: asyncio.Queue[decision.Event] = asyncio.Queue(MAX_QUEUED_EVENTS)
         self.requests = RequestDirectory()
--- a/sageturn/core/close_reason.py
+++ b/sageturn/core/close_reason.py
@@ -38,8 +38,6 @@
 CLIENT_DISCONNECT_REASONS = (CloseReason.CLIENT_LEFT, CloseReason.CLIENT_RESET)
 # The client ended the request, so no further attempt is made.
 CLIENT_CAUSED_REASONS = (*CLIENT_DISCONNECT_REASONS, CloseReason.CLIENT_FAULT)
-# The endpoint can't have received the complete request, so the attempt may be repeated at once.
-NOT_WRITTEN_REASONS = (CloseReason.NO_CONNECT, CloseReason.CUT_BEFORE_WRITTEN, CloseReason.NOT_SENT)
 
 _STATUS_BY_REASON = {
     CloseReason.SERVED: AttemptStatus.OK,
--- a/sageturn/core/endpoint_registry.py
+++ b/sageturn/core/endpoint_registry.py
@@ -117,6 +117,13 @@
         is_ready = self.states.get(endpoint) == EndpointStatus.READY
         return is_ready and not self.is_out_of_service(endpoint)
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Return whether ``endpoint`` drains or was removed from the list; False if it was never listed."""
+        state = self.states.get(endpoint)
+        if state is None:
+            return endpoint in self.addresses
+        return state != EndpointStatus.READY
+
     def request_watch(self) -> None:
         """Request the next watch, without waiting, since the balancer's actor calls this."""
         try:
--- a/sageturn/core/proxy_transport.py
+++ b/sageturn/core/proxy_transport.py
@@ -25,6 +25,9 @@
         writes the request's first byte.
         """
 
+    def is_endpoint_leaving(self, endpoint: str, /) -> bool:
+        """Return whether the endpoint drains or was removed from the list; False if it was never listed."""
+
     async def close_upstream(self) -> None:
         """Close the connection to the endpoint, which was established after its client had disconnected."""
 
--- a/sageturn/core/request_lifecycle.py
+++ b/sageturn/core/request_lifecycle.py
@@ -95,9 +95,7 @@
         context.client.start()
         try:
             if self.record.request.established_endpoint:
-                await ConnectionAdoption(
-                    context, self.checks, self._responder, self._attempts, self.established
-                ).run()
+                await ConnectionAdoption(context, self._responder, self._attempts, self.established).run()
             else:
                 await self._balancer_actor.post_event(
                     make_request_arrived(self.id, context.deadline_ms, self.record.request)
--- a/sageturn/frontends/frontend_connection.py
+++ b/sageturn/frontends/frontend_connection.py
@@ -69,6 +69,10 @@
             else:
                 sock.close()
 
+    def is_endpoint_leaving(self, endpoint: str, /) -> bool:
+        """Return whether the endpoint drains or was removed from the list; False if it was never listed."""
+        return self._context.endpoint_registry.is_leaving(endpoint)
+
     def _upstream_address(self, listed_address: Address) -> Address:
         """Return the address at which to connect to an endpoint whose list entry has ``listed_address``."""
         return listed_address
--- a/tests/core/test_attempt_guard.py
+++ b/tests/core/test_attempt_guard.py
@@ -37,6 +37,21 @@
     assert monitor.violations == {Invariant.ATTEMPT_LIMIT: 1}
 
 
+def test_a_discounted_attempt_leaves_the_limit_to_those_that_count() -> None:
+    guard, monitor = make_guard()
+    for _ in range(5):
+        guard.begin_attempt()
+        guard.end_attempt()
+        guard.discount_attempt()
+    for _ in range(2):
+        guard.begin_attempt()
+        assert guard.may_send(100.0, None)
+        guard.end_attempt()
+    guard.begin_attempt()
+    assert not guard.may_send(100.0, None)
+    assert monitor.violations == {Invariant.ATTEMPT_LIMIT: 1}
+
+
 def test_overlapping_attempts_are_not_allowed(caplog: pytest.LogCaptureFixture) -> None:
     guard, monitor = make_guard()
     guard.begin_attempt()
--- a/tests/core/test_request_lifecycle.py
+++ b/tests/core/test_request_lifecycle.py
@@ -48,6 +48,9 @@
     def poll_client(self) -> CloseReason | None:
         return CloseReason.CLIENT_LEFT if self.client_disconnected.is_set() else None
 
+    def is_endpoint_leaving(self, endpoint: str) -> bool:
+        return False
+
     async def close_upstream(self) -> None:
         self.calls.append("close upstream")
 
