Repeat an adoption that its endpoint rejected as busy

What callers saw: ERR lost at once, where the endpoint had answered BUSY to the only attempt. BUSY says that the request never ran, so a repeat is harmless for each class.

--- a/sageturn/decision/adoption.py
+++ b/sageturn/decision/adoption.py
@@ -94,7 +94,7 @@
             return EndAdoption(RejectCause.NO_ENDPOINT)
         if self._arrived_attempts >= self._max_attempts:
             return EndAdoption(RejectCause.ATTEMPTS_EXHAUSTED)
-        if self._arrived_attempts:
+        if self._first_execution_ms is not None:
             return EndAdoption(RejectCause.MAY_HAVE_RUN)
         delay_ms = self._delay_ms()
         if now_ms + delay_ms >= self._deadline_ms:
--- a/tests/decision/test_adoption.py
+++ b/tests/decision/test_adoption.py
@@ -56,6 +56,11 @@
     assert min(delays_ms) == delays_ms[0] and 15 < len(delays_ms) < 60
 
 
+def test_a_busy_endpoint_is_tried_again_for_every_class() -> None:
+    for effect in Effect:
+        assert isinstance(fail(make_plan(effect), 0.0, 5.0, AttemptStatus.FULL), RetryAdoption)
+
+
 def test_an_endpoint_that_leaves_gets_no_further_attempt() -> None:
     next_step = fail(make_plan(), 0.0, 5.0, AttemptStatus.CONNECT_FAILED, is_leaving=True)
     assert next_step == EndAdoption(RejectCause.NO_ENDPOINT)
