Repeat an adoption that may have run, where its class allows it

What callers saw: ERR lost at once, where the endpoint had reset or ended the first connection, cut its answer off or answered ERR, also for classes that are safe to repeat.

Cause: the adoption's loop ended with the first attempt that had been written, whatever its class; ordinary requests are repeated by their class and the window of their key.

Change: the plan repeats by the same rule: safe always, keyed within the key's lifetime from the start of the first execution, unsafe never.

--- a/sageturn/decision/adoption.py
+++ b/sageturn/decision/adoption.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from random import Random
 
 from sageturn.decision.events import NOT_EXECUTED_STATUSES, AttemptStatus
 from sageturn.decision.jitter import jitter_factor
 from sageturn.decision.reject_cause import RejectCause
-from sageturn.decision.settings import RequestClass, Settings
+from sageturn.decision.settings import Effect, RequestClass, Settings
 
 ADOPTION_LIMIT_MS = 40000.0  # the protocol counts a connection that is not established by then as lost
 RESPONSE_MARGIN_MS = 15.0  # time for the final response to reach the client
@@ -65,6 +66,7 @@
     ) -> None:
         """Create the plan for a client that arrived at ``started_ms`` and waits for ``wait_ms``."""
         self._max_attempts = settings.max_attempts
+        self._request_class = request_class
         self._rng = rng
         self._deadline_ms = started_ms + max(0.0, min(wait_ms, ADOPTION_LIMIT_MS) - RESPONSE_MARGIN_MS)
         self._arrived_attempts = 0
@@ -94,9 +96,10 @@
             return EndAdoption(RejectCause.NO_ENDPOINT)
         if self._arrived_attempts >= self._max_attempts:
             return EndAdoption(RejectCause.ATTEMPTS_EXHAUSTED)
-        if self._first_execution_ms is not None:
+        window_ms = math.inf if self._first_execution_ms is None else self._repeat_window_ms(now_ms)
+        if window_ms <= 0.0:
             return EndAdoption(RejectCause.MAY_HAVE_RUN)
-        delay_ms = self._delay_ms()
+        delay_ms = min(self._delay_ms(), window_ms / 2.0)
         if now_ms + delay_ms >= self._deadline_ms:
             return EndAdoption(RejectCause.LATE)
         return RetryAdoption(delay_ms)
@@ -110,6 +113,17 @@
         if status not in NOT_EXECUTED_STATUSES and self._first_execution_ms is None:
             self._first_execution_ms = attempt_started_ms
 
+    def _repeat_window_ms(self, now_ms: float) -> float:
+        """Return for how long the request may still be repeated once it may have been executed."""
+        match self._request_class.effect:
+            case Effect.SAFE:
+                return math.inf
+            case Effect.KEYED:
+                first_ms = now_ms if self._first_execution_ms is None else self._first_execution_ms
+                return first_ms + self._request_class.key_ttl_ms - now_ms
+            case _:
+                return 0.0
+
     def _delay_ms(self) -> float:
         if self._failures_since_arrival:
             exponent = min(self._failures_since_arrival - 1, MAX_DELAY_EXPONENT)
--- a/tests/decision/test_adoption.py
+++ b/tests/decision/test_adoption.py
@@ -45,6 +45,14 @@
     assert fail(plan, 0.0, 150.0, AttemptStatus.RESET) == EndAdoption(RejectCause.MAY_HAVE_RUN)
 
 
+def test_a_key_is_used_within_its_lifetime_from_the_first_execution_only() -> None:
+    plan = make_plan(Effect.KEYED, key_ttl_ms=5000.0)
+    next_step = fail(plan, 0.0, 4900.0, AttemptStatus.RESET)
+    assert isinstance(next_step, RetryAdoption) and 4900.0 + next_step.delay_ms < 5000.0
+    assert plan.next_timeouts(4950.0).total_ms > 30000.0
+    assert fail(plan, 4950.0, 5001.0, AttemptStatus.RESET) == EndAdoption(RejectCause.MAY_HAVE_RUN)
+
+
 @pytest.mark.parametrize("effect", Effect)
 def test_attempts_that_did_not_arrive_are_repeated_after_growing_delays(effect: Effect) -> None:
     plan = make_plan(effect, max_attempts=1)
