Bound the wait for the answer to an adoption, and try again

What callers saw: nothing, for as long as they waited. The client of the incident got no UP in 40 s; its line had arrived at the endpoint. No log line told of the wait.

Cause, class of bug: a wait bounded by nothing but a deadline that its peer chose. That the incident's endpoint never answered is a hypothesis which its evidence fits; no trace shows it.

Change: while another attempt may follow, one is given 10 s (for a keyed class at most half of what its key has left, if that is a second or more); the last one gets all the time up to the limit.

--- a/sageturn/decision/adoption.py
+++ b/sageturn/decision/adoption.py
@@ -19,8 +19,10 @@
 ADOPTION_LIMIT_MS = 40000.0  # the protocol counts a connection that is not established by then as lost
 RESPONSE_MARGIN_MS = 15.0  # time for the final response to reach the client
 
-# After a restart all clients arrive at once, so a slow connect does not indicate a fault.
+# After a restart all clients arrive at once, so a slow connect or a slow answer does not indicate a fault.
 CONNECT_TIMEOUT_MS = 5000.0
+ANSWER_TIMEOUT_MS = 10000.0
+MIN_ANSWER_TIMEOUT_MS = 1000.0  # an idempotency key that expires sooner leaves no time for a repeat
 
 # An attempt that did not arrive costs the endpoint nothing and is not limited in number, so the next one
 # follows soon. The number of those that arrive is limited, so they are spread over more time.
@@ -76,9 +78,17 @@
         )
 
     def next_timeouts(self, now_ms: float) -> AttemptTimeouts:
-        """Return the time limits of an attempt that begins now."""
+        """Return the time limits of an attempt that begins now.
+
+        An attempt that no other may follow gets all the time that is left.
+        """
         remaining_ms = max(1.0, self._deadline_ms - now_ms)
-        return AttemptTimeouts(remaining_ms, min(remaining_ms, CONNECT_TIMEOUT_MS))
+        total_ms = remaining_ms
+        repeat_ms = self._repeat_window_ms(now_ms)
+        is_last = self._arrived_attempts + 1 >= self._max_attempts
+        if not is_last and repeat_ms / 2.0 >= MIN_ANSWER_TIMEOUT_MS:
+            total_ms = min(remaining_ms, ANSWER_TIMEOUT_MS, repeat_ms / 2.0)
+        return AttemptTimeouts(total_ms, min(total_ms, CONNECT_TIMEOUT_MS))
 
     def on_attempt_failed(
         self, now_ms: float, attempt_started_ms: float, status: AttemptStatus, *, is_endpoint_leaving: bool
--- a/tests/decision/test_adoption.py
+++ b/tests/decision/test_adoption.py
@@ -38,6 +38,20 @@
     return plan.on_attempt_failed(ended_ms, started_ms, status, is_endpoint_leaving=is_leaving)
 
 
+def test_no_attempt_waits_to_the_end_while_another_may_follow() -> None:
+    plan = make_plan()
+    now_ms = 0.0
+    for is_last in (False, False, True):
+        timeout_ms = plan.next_timeouts(now_ms).total_ms
+        remaining_ms = ADOPTION_LIMIT_MS - now_ms
+        assert (timeout_ms > 0.9 * remaining_ms) is is_last and timeout_ms < remaining_ms
+        next_step = fail(plan, now_ms, now_ms + timeout_ms, AttemptStatus.TIMEOUT)
+        if not is_last:
+            assert isinstance(next_step, RetryAdoption)
+            now_ms += timeout_ms + next_step.delay_ms
+    assert next_step == EndAdoption(RejectCause.ATTEMPTS_EXHAUSTED)
+
+
 @pytest.mark.parametrize("effect", [Effect.UNSAFE, Effect.KEYED])
 def test_an_attempt_that_must_not_be_repeated_gets_all_the_time(effect: Effect) -> None:
     plan = make_plan(effect, key_ttl_ms=100.0)
@@ -47,6 +61,7 @@
 
 def test_a_key_is_used_within_its_lifetime_from_the_first_execution_only() -> None:
     plan = make_plan(Effect.KEYED, key_ttl_ms=5000.0)
+    assert plan.next_timeouts(0.0).total_ms == 2500.0
     next_step = fail(plan, 0.0, 4900.0, AttemptStatus.RESET)
     assert isinstance(next_step, RetryAdoption) and 4900.0 + next_step.delay_ms < 5000.0
     assert plan.next_timeouts(4950.0).total_ms > 30000.0
