Ignore signals once the relay has stopped, so that none changes its exit code

What an orchestrator saw: exit by SIGTERM or SIGHUP (-15, -1) in place of 0, where a further signal came in the last moments of a drained relay; with a deadline of 0.3 s a second SIGTERM 0.4 s after the first is enough. Clients had their answers by then.

Cause: the interpreter restores the default actions of handled signals before the process ends. Blocking them isn't enough: four threads of the event loop's library, with an open mask, still take them (seen in the process's status).

Change: they are ignored once the relay has run; the interpreter leaves ignored signals alone.

--- a/sageturn/__main__.py
+++ b/sageturn/__main__.py
@@ -26,6 +26,19 @@
 from sageturn.store.errors import LogCorruptedError
 
 
+async def run_relay(relay: Relay) -> None:
+    """Run ``relay`` until a signal stops it, and ignore further signals from then on.
+
+    The interpreter restores the default actions of handled signals, though not of ignored ones, before the
+    process ends. Blocking them would not suffice, since other threads may still take them.
+    """
+    try:
+        await relay.run()
+    finally:
+        for handled_signal in HANDLED_SIGNALS:
+            signal.signal(handled_signal, signal.SIG_IGN)
+
+
 def main() -> int:
     """Run one relay until a signal stops it. Returns the exit code: 0, or 2 if the relay could not start."""
     parser = argparse.ArgumentParser(prog="sageturn", description="A relay for long-lived connections.")
@@ -49,7 +62,7 @@
         print(f"sageturn: {error}", file=sys.stderr)
         return 2
     gc.freeze()  # excludes the long-lived objects of the start from every later garbage collection
-    uvloop.run(relay.run())
+    uvloop.run(run_relay(relay))
     return 0
 
 
--- a/tests/relay/test_program.py
+++ b/tests/relay/test_program.py
@@ -75,6 +75,21 @@
         assert asyncio.get_running_loop().time() - began_s < 3.6
 
 
+@pytest.mark.parametrize("repeated_signal", [signal.SIGTERM, signal.SIGHUP])
+@pytest.mark.timeout(30)
+async def test_a_signal_in_the_last_moments_of_the_process_does_not_change_its_exit_code(
+    tmp_path: Path, repeated_signal: signal.Signals
+) -> None:
+    async with running_program(tmp_path) as (process, _):
+        process.send_signal(signal.SIGTERM)
+        while process.returncode is None:
+            # ``send_signal`` would reap the process, and asyncio would then report 255.
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, repeated_signal)
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0
+
+
 @pytest.mark.timeout(30)
 async def test_every_client_is_answered_when_descriptors_run_out(tmp_path: Path) -> None:
     # The kernel has accepted the clients in the backlog: one that was left there would get no answer.
