Have the soak play short deadlines, crowds, and clients from before the start

Need: the soak never sent a connection that was open before its relay started, always waited 2.7 s before SIGKILL, and its clients left within five seconds.

Change: a seed draws the clients' deadline (0.3, 0.8 or 2 s) and, in a quarter of the runs, a crowd of idle clients, by a generator of their own: the storms of a seed stay as they are. Two clients a relay come with at= before the run, and endpoints fail four in seven of their first attempts; the auditor's new rule 'adopted' wants them restored. The rule on exits follows the deadline that was drawn, where it was 2.7 s for all.

--- a/sageturn/lab/soak/auditor.py
+++ b/sageturn/lab/soak/auditor.py
@@ -19,7 +19,6 @@
     MAX_ATTEMPTS,
     NEVER_S,
     QUOTA_S,
-    REQUEST_TIMEOUT_S,
     SLOW_START_WINDOW_S,
     START_CAPACITY,
     WARM_UP_S,
@@ -35,7 +34,6 @@
 NOTIFICATION_DEADLINE_S = 6.0  # time from a change to the moment when a relay counts as notified of it
 RELOAD_DEADLINE_S = 4.0  # longest delay that SIGHUP causes to a notification where lists are pushed
 BAD_CLIENT_DEADLINE_S = 3.0  # time in which an invalid request has to be answered or its connection closed
-STOP_DEADLINE_S = REQUEST_TIMEOUT_S + 0.7  # time from SIGTERM to the relay's exit
 # A budget of fewer attempts may be exceeded by three times its square root, a larger one by twice that root.
 SMALL_BUDGET_ATTEMPTS = 30.0
 
@@ -44,6 +42,7 @@
     """A rule that every run has to obey."""
 
     ANSWERED = "answered"
+    ADOPTED = "adopted"
     ANSWERED_ONCE = "answered_once"
     IN_TIME = "in_time"
     BAD_CLIENT_ANSWERED = "bad_client_answered"
@@ -118,6 +117,8 @@
         if not client.answer and client.left_s > client.sent_s + client.wait_s + ANSWER_GRACE_S:
             yield Violation(Rule.ANSWERED, client.request, "nothing came")
             return
+        if client.adopted_endpoint and not client.is_established:
+            yield from self._check_lost_adoption(client)
         late_s = client.answered_s - client.sent_s - client.wait_s
         if client.answer and late_s > ANSWER_GRACE_S + MEASURING_SLACK_S:
             yield Violation(Rule.IN_TIME, client.request, f"{late_s:.3f} s late: {client.answer}")
@@ -129,6 +130,23 @@
         elif client.is_established:
             yield from self._check_established(client)
 
+    def _check_lost_adoption(self, client: ClientRecord) -> Iterator[Violation]:
+        """Check that a connection from before the run was not restored for a reason that the rules allow.
+
+        Such a reason is the end of its relay or of its endpoint, or a class that allows no repeat at will.
+        """
+        ended_s = client.answered_s or client.left_s
+        relay = self._relays.get(client.relay_process)
+        has_relay_ended = relay is not None and 0.0 < relay.terminated_s <= ended_s
+        has_endpoint_ended = any(
+            incarnation.name == client.adopted_endpoint
+            and self._plan.started_s + min(incarnation.drain_s, incarnation.end_s) <= ended_s
+            for incarnation in self._plan.incarnations
+        )
+        if self._plan.effect is Effect.SAFE and not has_relay_ended and not has_endpoint_ended:
+            elapsed = f"{ended_s - client.sent_s:.3f} s after it was sent, relay {client.relay}"
+            yield Violation(Rule.ADOPTED, client.request, f"{client.answer or 'nothing'} {elapsed}")
+
     def _describe_elapsed(self, client: ClientRecord) -> str:
         return f"{client.ended_s - client.sent_s:.3f} s after it was sent, relay {client.relay}"
 
@@ -280,7 +298,7 @@
             yield Violation(Rule.RELAY_EXIT, name, f"exit code {record.exit_code}")
         elif (
             record.terminated_s
-            and record.exited_s > record.terminated_s + STOP_DEADLINE_S + MEASURING_SLACK_S
+            and record.exited_s > record.terminated_s + self._plan.kill_after_s + MEASURING_SLACK_S
         ):
             took_s = record.exited_s - record.terminated_s
             yield Violation(Rule.RELAY_EXIT, name, f"{took_s:.3f} s after SIGTERM")
--- a/sageturn/lab/soak/endpoint_host.py
+++ b/sageturn/lab/soak/endpoint_host.py
@@ -40,6 +40,18 @@
     b"NO\r\n",
     b"x0=0.5\r\n",
 )
+# Modes for the first attempt of a client whose connection was open before its relay started.
+ADOPTION_MODES = (
+    None,
+    None,
+    None,
+    EndpointMode.HANG,
+    EndpointMode.RESET,
+    EndpointMode.GARBLE,
+    EndpointMode.BUSY,
+)
+PARTIAL_ANSWER = b"UP r"
+PARTIAL_ANSWER_RATIO = 0.5  # ratio of hanging adoptions whose answer begins and never ends
 LOAD_LINES = (b"LOAD 2000\r\n", b"LOAD nan\r\n", b"LOAD -1\r\n", b"LOAD 9000\r\n")
 GARBLED_ANSWERS = (
     b"UP\r\n",
@@ -70,8 +82,16 @@
         self.connections: set[EndpointConnection] = set()
         self._mode_faults = mode_faults
         self._started_s = started_s
+        self._adopted_requests: set[str] = set()
         self._server: asyncio.Server | None = None
 
+    def draw_adoption_mode(self, request: str) -> EndpointMode | None:
+        """Return the mode for an attempt to adopt a connection; only the first of a request may fail."""
+        if request in self._adopted_requests:
+            return None
+        self._adopted_requests.add(request)
+        return self.rng.choice(ADOPTION_MODES)
+
     @property
     def started_at_s(self) -> float:
         """Start of this incarnation on the monotonic clock, in seconds."""
@@ -164,7 +184,12 @@
             self._answer_and_close(b"SYNTAX\r\n")
             return
         self._record.request = request.request_id
-        self._respond(self._endpoint.current_mode())
+        mode = self._endpoint.current_mode()
+        if "at" in request.values and mode is None:
+            mode = self._endpoint.draw_adoption_mode(request.request_id)
+            if mode is EndpointMode.HANG and self._endpoint.rng.random() < PARTIAL_ANSWER_RATIO:
+                self.write(PARTIAL_ANSWER)
+        self._respond(mode)
 
     def _on_health_check(self) -> None:
         self._record.is_health_check = True
--- a/sageturn/lab/soak/plan.py
+++ b/sageturn/lab/soak/plan.py
@@ -34,7 +34,14 @@
 FALL_MULTIPLE = 2.0  # factor of the slow start's budget
 DRAIN_GRACE_S = 0.3  # time past a drain's notification in which attempts may still begin
 MAX_ATTEMPTS = 3
-REQUEST_TIMEOUT_S = 2.0
+REQUEST_TIMEOUTS_S = (0.3, 0.8, 2.0, 2.0)  # a plan's timeout is drawn from these
+LATENCY_OBJECTIVE_RATIO = 0.45  # latency objective over the request timeout
+KILL_AFTER_TIMEOUT_S = 0.7  # shortest time from the request timeout after SIGTERM to SIGKILL
+MAX_COUNTED_TIMEOUT_S = 3.0  # a longer request timeout delays SIGKILL no further
+ADOPTED_PER_RELAY = 2  # clients of each relay whose connections were open before its start
+CROWD_RATIO = 0.25  # ratio of plans with a crowd of idle clients
+CROWD_DURATION_S = 1.5
+CROWD_START_S = (1.0, 8.0)
 KEY_TTL_S = 1.5
 HEALTH_CHECK_PRICE = 0.01  # cost of a health check, as a fraction of a request's
 CHANGE_DELAY_S = 0.2  # time between a change of an endpoint and its publication by discovery
@@ -75,6 +82,7 @@
     CLIENT_FAULTS = "client_faults"
     RELAY_SIGNALS = "relay_signals"  # several signals in quick succession
     RELAY_CLOCK = "relay_clock"  # a step of one relay's wall clock; the first precedes its start
+    CLIENT_CROWD = "client_crowd"  # more idle clients than a relay may keep, which send nothing
 
 
 class SignalSeries(StrEnum):
@@ -85,9 +93,9 @@
     STOP_TWICE = "stop_twice"  # SIGTERM, and a second one while the relay drains
 
 
-# Every plan has faults of these kinds in addition to its storms. A separate random generator draws them, so
+# Plans have faults of these kinds in addition to their storms. Separate random generators draw them, so
 # that they do not change the storms of a seed.
-SERIES_KINDS = (FaultKind.RELAY_SIGNALS, FaultKind.RELAY_CLOCK)
+SERIES_KINDS = (FaultKind.RELAY_SIGNALS, FaultKind.RELAY_CLOCK, FaultKind.CLIENT_CROWD)
 STORM_KINDS = tuple(kind for kind in FaultKind if kind not in SERIES_KINDS)
 
 SHIMMED_FAULT_KINDS = (
@@ -156,6 +164,7 @@
     effect: Effect  # effect of repeating a request of the only class
     variants: tuple[Variant, ...] = ()
     started_s: float = 0.0  # start of the run on the monotonic clock
+    request_timeout_s: float = max(REQUEST_TIMEOUTS_S)  # time that a client waits for its answer
     faults: list[ScheduledFault] = msgspec.field(default_factory=list, name="incidents")
     incarnations: list[EndpointIncarnation] = msgspec.field(default_factory=list, name="lives")
 
@@ -164,6 +173,11 @@
         """True if an agent on the relay's machine pushes the endpoint lists."""
         return Variant.PUSHED_LISTS in self.variants
 
+    @property
+    def kill_after_s(self) -> float:
+        """Shortest time from the platform's SIGTERM to its SIGKILL."""
+        return min(self.request_timeout_s, MAX_COUNTED_TIMEOUT_S) + KILL_AFTER_TIMEOUT_S
+
     def faults_of(self, *kinds: FaultKind) -> list[ScheduledFault]:
         """Return the faults of these kinds, ordered by start time."""
         return [fault for fault in self.faults if fault.kind in kinds]
@@ -183,8 +197,8 @@
     quota = plan.size.requests_per_s * QUOTA_S
     one_class = {
         "name": "c",
-        "aimMs": 900.0,
-        "hardLimitMs": REQUEST_TIMEOUT_S * 1000.0,
+        "aimMs": plan.request_timeout_s * LATENCY_OBJECTIVE_RATIO * 1000.0,
+        "hardLimitMs": plan.request_timeout_s * 1000.0,
         "semantics": plan.effect,
         "dedupScope": "all",
         "keyTtlMs": KEY_TTL_S * 1000.0,
@@ -243,6 +257,7 @@
         self._add_faults(FaultKind.CLIENT_FAULTS, 0.5)
         self._add_faults(self._rng.choice([FaultKind.ENDPOINT_DRAIN, FaultKind.ENDPOINT_CRASH]), 5.5)
         self._add_series(Random(f"{self._plan.seed}/series"))
+        self._draw_clients(Random(f"{self._plan.seed}/clients"))
         self._plan.incarnations += self._latest_incarnations.values()
         self._plan.faults.sort(key=lambda fault: fault.begin_s)
         return self._plan
@@ -264,12 +279,23 @@
                 step_s = rng.choice(CLOCK_STEPS_S)
                 self._append_fault(ScheduledFault(FaultKind.RELAY_CLOCK, at_s, NEVER_S, relay, step_s))
 
+    def _draw_clients(self, rng: Random) -> None:
+        """Draw how long clients wait for their answers, and whether a crowd of idle ones comes."""
+        self._plan.request_timeout_s = rng.choice(REQUEST_TIMEOUTS_S)
+        if rng.random() >= CROWD_RATIO:
+            return
+        begin_s = rng.uniform(*CROWD_START_S)
+        relays = range(self._plan.size.relays)
+        for relay in rng.sample(relays, max(1, len(relays) // 4)):
+            end_s = begin_s + CROWD_DURATION_S
+            self._append_fault(ScheduledFault(FaultKind.CLIENT_CROWD, begin_s, end_s, relay))
+
     def _add_faults(self, kind: FaultKind, at_s: float) -> None:
         rng = self._rng
         size = self._plan.size
         length_s = rng.uniform(0.5, 2.5)
         if kind in SERIES_KINDS:
-            return  # _add_series adds them to every plan
+            return  # drawn by _add_series and _draw_clients
         if kind in (FaultKind.ENDPOINT_DRAIN, FaultKind.ENDPOINT_CRASH):
             for endpoint_index in rng.sample(
                 range(size.endpoints), max(1, size.endpoints // rng.choice([3, 6]))
--- a/sageturn/lab/soak/records.py
+++ b/sageturn/lab/soak/records.py
@@ -55,7 +55,8 @@
     is_moved: bool = False
     ended_s: float = 0.0  # time at which the relay ended the connection
     end: str = ""  # value of ClientEnd; empty if the client closed the connection
-    is_bad: bool = False  # True if the client sent an invalid request
+    is_bad: bool = False  # True if the client sent an invalid request, or none
+    adopted_endpoint: str = ""  # endpoint of its connection before the relay's start; empty if new
 
     @property
     def is_established(self) -> bool:
--- a/sageturn/lab/soak/relays.py
+++ b/sageturn/lab/soak/relays.py
@@ -15,7 +15,6 @@
 
 from sageturn.lab.loopback.ports import reserve_port
 from sageturn.lab.soak.plan import (
-    REQUEST_TIMEOUT_S,
     FaultKind,
     ScheduledFault,
     SignalSeries,
@@ -28,7 +27,6 @@
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.03
 FRONTEND_DELAY_S = 0.3  # time past SIGTERM in which the platform's load balancer still sends clients
-KILL_AFTER_S = REQUEST_TIMEOUT_S + 0.7  # shortest time between the platform's SIGTERM and its SIGKILL
 REPEATED_SIGNAL_DELAY_S = 0.4  # time between two SIGTERM
 SERIES_RELOAD_COUNT = 4
 SERIES_RELOAD_INTERVAL_S = 0.01
@@ -122,7 +120,7 @@
         return False
 
     async def terminate(self, *, is_repeated: bool = False) -> None:
-        """Send SIGTERM, and wait for the process to exit; kill it after ``KILL_AFTER_S``.
+        """Send SIGTERM, and wait for the process to exit; kill it at the platform's earliest SIGKILL.
 
         With ``is_repeated`` the signal is sent a second time during the drain.
         """
@@ -133,10 +131,11 @@
         self.is_in_rotation = False
         if is_repeated:
             await asyncio.sleep(REPEATED_SIGNAL_DELAY_S - FRONTEND_DELAY_S)
+            # ``send_signal`` could reap the process, and asyncio would then report exit code 255.
             with suppress(ProcessLookupError):
-                process.send_signal(signal.SIGTERM)
+                os.kill(process.pid, signal.SIGTERM)
         try:
-            async with asyncio.timeout(record.terminated_s + KILL_AFTER_S - time.monotonic()):
+            async with asyncio.timeout(record.terminated_s + self._plan.kill_after_s - time.monotonic()):
                 await process.wait()
         except TimeoutError:
             process.kill()
--- a/sageturn/lab/soak/report.py
+++ b/sageturn/lab/soak/report.py
@@ -57,7 +57,11 @@
 
 def summarize_evidence(evidence: Evidence) -> str:
     """Return the figures of one run."""
-    clients = [client for client in evidence.clients if not client.is_bad and client.end != ClientEnd.REFUSED]
+    accepted = [
+        client for client in evidence.clients if not client.is_bad and client.end != ClientEnd.REFUSED
+    ]
+    adopted = [client for client in accepted if client.adopted_endpoint]
+    clients = [client for client in accepted if not client.adopted_endpoint]
     established = sum(client.is_established for client in clients)
     rejected = sum(client.answer.startswith("BUSY") for client in clients)
     failed = sum(client.answer.startswith("ERR") for client in clients)
@@ -65,5 +69,6 @@
     moved = sum(client.is_moved for client in clients)
     return (
         f"{len(clients)} requests, {established} served, {rejected} rejected, {failed} failed,"
-        f" {attempts} attempts, {len(evidence.relays)} relay processes, {moved} moved"
+        f" {attempts} attempts, {len(evidence.relays)} relay processes, {moved} moved,"
+        f" {sum(client.is_established for client in adopted)} of {len(adopted)} adopted"
     )
--- a/sageturn/lab/soak/soak_run.py
+++ b/sageturn/lab/soak/soak_run.py
@@ -78,11 +78,13 @@
         publish_task = asyncio.ensure_future(discovery.run())
         clients = ClientPopulation(self.plan, self._relays)
         self.evidence.clients = clients.records
+        clients.start_adopted()
         await asyncio.sleep(max(0.0, self.plan.started_s - time.monotonic()))
         try:
             faults = RelayFaultInjector(self.plan, self._relays, write_config)
             await asyncio.gather(clients.run(TRAFFIC_END_S), faults.run())
             await asyncio.gather(*(self._terminate(relay) for relay in self._relays))
+            await clients.wait_until_ended()
         finally:
             await cancel_and_wait(publish_task)
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -19,6 +19,7 @@
 from sageturn.lab.soak.discovery import list_changes
 from sageturn.lab.soak.plan import (
     NEVER_S,
+    REQUEST_TIMEOUTS_S,
     FaultKind,
     SignalSeries,
     SoakPlan,
@@ -35,6 +36,7 @@
 SMALL = SoakSize(relays=2, hosts=2, requests_per_s=20.0)
 # Rules that do not depend on timing: other tests may load the machine, whereas a full soak runs alone.
 TIMELESS_RULES = {
+    Rule.ADOPTED,
     Rule.ANSWERED_ONCE,
     Rule.ATTEMPT_LIMIT,
     Rule.REPEATABLE,
@@ -69,6 +71,17 @@
         assert plan.wall_clock_offset_s(1.0) == 0.0 or plan.faults_of(FaultKind.CLOCK_STEP)
 
 
+def test_some_plans_have_short_deadlines_and_some_a_crowd() -> None:
+    plans = [draw_plan(seed, SoakSize()) for seed in range(50)]
+    crowded = [plan for plan in plans if plan.faults_of(FaultKind.CLIENT_CROWD)]
+    assert 5 < len(crowded) < 25
+    assert {plan.request_timeout_s for plan in plans} == set(REQUEST_TIMEOUTS_S)
+    for plan in plans:
+        assert plan.kill_after_s == pytest.approx(min(plan.request_timeout_s, 3.0) + 0.7)
+        settings = read_settings(relay_settings(plan, 0))
+        assert settings.classes[0].give_up_ms == plan.request_timeout_s * 1000.0
+
+
 def test_variants_change_the_deployment_and_no_random_draws() -> None:
     default_plan = draw_plan(7, SoakSize())
     variant_plan = draw_plan(7, SoakSize(), variants=list(Variant))
@@ -152,18 +165,23 @@
     assert run.startswith(f"{shell_part} exec ")
 
 
-@pytest.mark.parametrize("variants", [[], list(Variant)])
+SEED_WITH_CROWD_AND_SHORT_DEADLINE = 149
+
+
+@pytest.mark.parametrize(
+    ("seed", "variants"), [(3, []), (3, list(Variant)), (SEED_WITH_CROWD_AND_SHORT_DEADLINE, [])]
+)
 def test_a_small_run_serves_requests_and_obeys_the_rules(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, variants: list[Variant]
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int, variants: list[Variant]
 ) -> None:
     monkeypatch.setattr(soak_run, "START_TIME_S", 5.0)
     lines: list[str] = []
     storm = [FaultKind.RELAY_RESTART, FaultKind.ENDPOINT_DRAIN, FaultKind.DISK_ERRORS]
-    plan = draw_plan(3, SMALL, storm, variants)
+    plan = draw_plan(seed, SMALL, storm, variants)
     play_all([plan], tmp_path, lines.append)
     assert any("served" in line for line in lines) and lines[-1].startswith("rules broken:")
     broken = {line.split()[1].rstrip(":") for line in lines if line.startswith("  BROKEN")}
     assert not broken & {rule.value for rule in TIMELESS_RULES}, lines
-    assert os.listdir(tmp_path) == ["seed-3"]
-    evidence = (tmp_path / "seed-3" / "evidence.json").read_bytes()
+    assert os.listdir(tmp_path) == [f"seed-{seed}"]
+    evidence = (tmp_path / f"seed-{seed}" / "evidence.json").read_bytes()
     assert len(msgspec.json.decode(evidence)["relays"]) > SMALL.relays
--- a/tests/lab/test_soak_auditor.py
+++ b/tests/lab/test_soak_auditor.py
@@ -106,6 +106,38 @@
     assert broken_rules([client(**RELAY_ENDED)], [by_endpoint]) == set()
 
 
+ADOPTED: dict[str, Any] = {"adopted_endpoint": "s0", "wait_s": 40.0, "sent_s": 95.0}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"answer": "ERR lost", "answered_s": 101.0},
+        {"answer": "BUSY", "answered_s": 101.0},
+        {"answer": "", "answered_s": 0.0, "left_s": 135.0},
+    ],
+)
+def test_a_connection_from_before_the_run_has_to_be_restored(fields: dict[str, Any]) -> None:
+    lost = client(**{**ADOPTED, **fields})
+    assert broken_rules([lost], [], process=relay(terminated_s=140.0, exited_s=141.0)) == {Rule.ADOPTED}
+
+
+def test_a_connection_from_before_the_run_may_end_with_its_relay_its_endpoint_or_an_unsafe_attempt() -> None:
+    lost = client(**{**ADOPTED, "answer": "ERR lost", "answered_s": 102.0})
+    assert broken_rules([lost], [], process=relay(terminated_s=101.9, exited_s=102.5)) == set()
+    assert broken_rules([replace(lost, adopted_endpoint="s1")], []) == set()
+    assert broken_rules([lost], [], effect=Effect.UNSAFE) == set()
+    assert broken_rules([client(**ADOPTED)], [attempt()]) == set()
+
+
+def test_the_earliest_kill_follows_the_clients_deadline() -> None:
+    plan = make_plan()
+    plan.request_timeout_s = 0.3
+    evidence = Evidence([], [], [relay(terminated_s=110.0, exited_s=111.2)], [])
+    (violation,) = Auditor(plan, evidence).find_violations()
+    assert violation.rule is Rule.RELAY_EXIT and violation.detail == "1.200 s after SIGTERM"
+
+
 def test_attempts_are_limited_and_sequential() -> None:
     many = [
         attempt(
