Hold the repeats of adoptions to the slow start of their endpoint

Need: the adoptions that wait for one endpoint come together as it returns, from all relays. An endpoint that was restarted meanwhile is cold, and may get only its slow-start budget by the sum of all relays; before the repeats existed they could not exceed it.

Change: a repeat takes one of the relay's slow-start permits where the list says that the endpoint is in slow start; without one it counts as not arrived and follows later. blocked_sends has slow_start for these. The first attempt goes out as before.

--- a/sageturn/core/balancer_actor.py
+++ b/sageturn/core/balancer_actor.py
@@ -108,6 +108,10 @@
         """
         return snapshot_endpoints(self._balancer, self.clock.now_ms(), names)
 
+    def take_slow_start_permit(self, endpoint: str) -> bool:
+        """Take a permit for an attempt that the balancer did not place; return False if there is none now."""
+        return self._balancer.fleet.take_slow_start_permit(self.clock.now_ms(), endpoint)
+
     # ------------------------------------------------------------ the actor
 
     async def run(self) -> None:
--- a/sageturn/core/connection_adoption.py
+++ b/sageturn/core/connection_adoption.py
@@ -11,6 +11,7 @@
 from sageturn.core.messages import FinalResponse, ResponseReason, make_connection_adopted
 from sageturn.core.request_attempts import RequestAttempts
 from sageturn.core.request_context import RequestContext
+from sageturn.core.request_counters import SendBlock
 from sageturn.decision.adoption import NOT_ARRIVED_STATUSES, EndAdoption, RetryAdoption
 
 log = logging.getLogger(__name__)
@@ -78,9 +79,15 @@
                 return self._context.client.find_close_reason() or CloseReason.NOT_SENT
 
     async def _attempt(self, endpoint: str, started_ms: float) -> CloseReason | None:
-        """Make one attempt. Return why it failed; None once it is established."""
+        """Make one attempt, or none while the endpoint's slow start permits no repeat.
+
+        Return why it failed; None once it is established.
+        """
         context = self._context
         attempt = context.record.attempts
+        if attempt and not context.balancer_actor.take_slow_start_permit(endpoint):
+            context.balancer_actor.counters.blocked_sends[SendBlock.SLOW_START.value] += 1
+            return CloseReason.NOT_SENT
         context.record.attempts += 1
         context.balancer_actor.counters.attempts += 1
         timeouts = self._plan.next_timeouts(started_ms)
--- a/sageturn/core/request_counters.py
+++ b/sageturn/core/request_counters.py
@@ -18,6 +18,7 @@
     DEADLINE_PASSED = "deadline_passed"
     ENDPOINT_WITHDRAWN = "endpoint_withdrawn"
     INVARIANT = "invariant"
+    SLOW_START = "slow_start"
 
 
 @dataclass(slots=True)
--- a/sageturn/decision/fleet.py
+++ b/sageturn/decision/fleet.py
@@ -200,6 +200,19 @@
             endpoint.slow_start, age_ms, self._warm_connections(endpoint), endpoint.quota.eligible_relays
         )
 
+    def take_slow_start_permit(self, now_ms: float, name: str) -> bool:
+        """Take a permit for an attempt that ``Placement`` did not choose; return False if there is none now.
+
+        An endpoint that is unknown, or not in slow start, needs no permit.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return True
+        is_permitted = self.check_slow_start_permit(now_ms, endpoint)
+        if is_permitted and endpoint.slow_start is not None:
+            self.slow_start.take_permit(endpoint.slow_start)
+        return is_permitted
+
     def _warm_connections(self, endpoint: EndpointState) -> float:
         """Return the connections of all relays that an endpoint in slow start holds once it is warm.
 
--- a/tests/core/test_connection_adoption.py
+++ b/tests/core/test_connection_adoption.py
@@ -117,6 +117,23 @@
         await until(lambda: is_idle(relay))
 
 
+async def test_retries_of_an_adoption_wait_for_a_permit_of_an_endpoint_in_slow_start(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caplog.set_level(logging.INFO)
+    is_permitted = False
+    async with running_relay(tmp_path, respond_with(b"BUSY\r\n")) as (relay, (endpoint,)):
+        monkeypatch.setattr(relay.balancer_actor, "take_slow_start_permit", lambda _: is_permitted)
+        answer = asyncio.ensure_future(adopt(relay))
+        await wait_for_retries(caplog, 4)
+        assert len(endpoint.request_lines) == 1
+        assert relay.balancer_actor.counters.blocked_sends["slow_start"] == 3
+        endpoint.script = echo_lines
+        is_permitted = True
+        assert await asyncio.wait_for(answer, 5) == b"UP r1\r\n"
+        assert len(endpoint.request_lines) == 2
+
+
 async def test_a_draining_endpoint_gets_no_second_attempt_of_an_adoption(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
--- a/tests/decision/test_slow_start.py
+++ b/tests/decision/test_slow_start.py
@@ -311,6 +311,33 @@
     assert not over
 
 
+def test_permits_taken_outside_placement_keep_all_relays_inside_the_budget() -> None:
+    relays, budget = 200, 20.0
+    size = budget * SLOW_START_MS / OVERLOAD_MULTIPLE / WINDOW_MS
+    taken: list[float] = []
+    for number in range(relays):
+        settings = Settings(
+            classes=CLASSES,
+            tenants=(Tenant("t", 20.0, size),),
+            relay_count=relays,
+            index=number,
+            cold_overload_multiple=OVERLOAD_MULTIPLE,
+            cold_overload_window_ms=WINDOW_MS,
+            initial_capacity_ratio=INITIAL_CAPACITY_RATIO,
+            slow_start_ms=SLOW_START_MS,
+        )
+        balancer = Balancer(settings, number)
+        balancer.handle(800.0, EndpointListEvent("full", [Endpoint("new", started_at_ms=1e-9)]))
+        for step in range(200):
+            now_ms = 800.0 + 100.0 * step
+            if balancer.fleet.take_slow_start_permit(now_ms, "new"):
+                taken.append(now_ms)
+        assert balancer.fleet.slow_start.overdrawn_permits == 0
+        assert balancer.fleet.take_slow_start_permit(now_ms, "unknown")
+    assert len(taken) > 50
+    assert not windows_over_budget(sorted(taken), lambda age: window_budget(age, size))
+
+
 def ages_after_a_zones_return(
     kind: str, part_listed: float, connections_per_endpoint: float
 ) -> dict[str, list[float]]:
