Bound the time for the call to discovery to be written

Same class as the incident's: a wait without an end of its own. The call's request was written outside of any timeout, so a discovery service whose connection takes no bytes held the watch, and with it the endpoint list, for as long as it stayed so.

Change: the write counts into the time for the response.

Evidence: the new test, a peer that accepts and never reads, hung on the old code (failed after its 2 s) and passes here; 30 tests of the client passed.

--- a/sageturn/net/discovery_watch.py
+++ b/sageturn/net/discovery_watch.py
@@ -141,11 +141,12 @@
             httptools.HttpParserError: the response is not valid HTTP.
         """
         loop = asyncio.get_running_loop()
-        await loop.sock_sendall(sock, self._encode_request())
-        buffer = bytearray(READ_BUFFER_BYTES)
-        view = memoryview(buffer)
         self._request_sent_at_s = loop.time()
         deadline_s = self._request_sent_at_s + RESPONSE_TIMEOUT_S
+        async with asyncio.timeout_at(deadline_s):
+            await loop.sock_sendall(sock, self._encode_request())
+        buffer = bytearray(READ_BUFFER_BYTES)
+        view = memoryview(buffer)
         while True:
             async with asyncio.timeout_at(deadline_s):
                 size = await loop.sock_recv_into(sock, buffer)
--- a/tests/net/test_discovery_client.py
+++ b/tests/net/test_discovery_client.py
@@ -24,6 +24,7 @@
 from sageturn.net import discovery_watch
 from sageturn.net.connecting import ConnectFailure
 from sageturn.net.discovery import DiscoveryClient
+from sageturn.net.discovery_watch import DiscoveryWatch
 from sageturn.net.endpoint_list import parse_endpoint_list
 from sageturn.net.errors import InvalidEndpointListError
 from sageturn.net.json_stream import JsonObject
@@ -211,3 +212,23 @@
         assert (await asyncio.wait_for(failed.get(), 5)).failure is DiscoveryFailure.UNREACHED
     finally:
         sock.close()
+
+
+async def test_a_request_that_discovery_does_not_read_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_watch, "RESPONSE_TIMEOUT_S", 0.2)
+    more_than_the_kernel_buffers = b"x" * (1 << 25)
+    monkeypatch.setattr(
+        discovery_watch.DiscoveryWatch, "_encode_request", lambda _: more_than_the_kernel_buffers
+    )
+
+    async def fail_on_update(_update: EndpointListUpdate) -> None:
+        raise AssertionError("nothing was sent")
+
+    unread = bind_socket(("127.0.0.1", 0))
+    unread.listen()
+    try:
+        watch = DiscoveryWatch(unread.getsockname(), 0, fail_on_update, asyncio.get_running_loop().time)
+        failed = await asyncio.wait_for(watch.run(), 2)
+    finally:
+        unread.close()
+    assert failed == WatchFailed("silent", DiscoveryFailure.UNANSWERED)
