Wait for the interruptions of a request in one place

Need: the attempts and the adoption each waited for the client's disconnect and the forced drain by code of their own.

--- a/sageturn/core/connection_adoption.py
+++ b/sageturn/core/connection_adoption.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 
 from sageturn.core.close_reason import CLIENT_DISCONNECT_REASONS, CloseReason, outcome_status
@@ -74,9 +73,9 @@
             self._log_next_step(endpoint, next_step)
             if isinstance(next_step, EndAdoption):
                 return close_reason
-            await self._wait(next_step.delay_ms)
+            await context.wait_unless_interrupted(timeout_s=next_step.delay_ms / 1000.0)
             if self._is_interrupted():
-                return self._context.client.find_close_reason() or CloseReason.NOT_SENT
+                return context.client.find_close_reason() or CloseReason.NOT_SENT
 
     async def _attempt(self, endpoint: str, started_ms: float) -> CloseReason | None:
         """Make one attempt, or none while the endpoint's slow start permits no repeat.
@@ -102,18 +101,6 @@
         """Return whether the client has disconnected or is at fault, or the drain is forced."""
         return self._context.client.disconnect.done() or self._context.drain_forced.is_set()
 
-    async def _wait(self, delay_ms: float) -> None:
-        """Wait for the delay, but no longer than until ``_is_interrupted``."""
-        drain_forced = asyncio.ensure_future(self._context.drain_forced.wait())
-        try:
-            await asyncio.wait(
-                (self._context.client.disconnect, drain_forced),
-                timeout=delay_ms / 1000.0,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        finally:
-            drain_forced.cancel()
-
     def _log_next_step(self, endpoint: str, next_step: RetryAdoption | EndAdoption) -> None:
         log_id = self._context.handle.log_id
         if isinstance(next_step, RetryAdoption):
--- a/sageturn/core/request_attempts.py
+++ b/sageturn/core/request_attempts.py
@@ -132,16 +132,12 @@
     ) -> CloseReason | None:
         """Open the connection; cancel this as soon as the client disconnects or the drain is forced."""
         context = self._context
-        drain_forced = asyncio.ensure_future(context.drain_forced.wait())
         opening = asyncio.ensure_future(
             context.transport.open_upstream(endpoint, timeout_ms, connect_timeout_ms)
         )
         try:
-            await asyncio.wait(
-                (opening, context.client.disconnect, drain_forced), return_when=asyncio.FIRST_COMPLETED
-            )
+            await context.wait_unless_interrupted(opening)
         finally:
-            drain_forced.cancel()
             if not opening.done():
                 # Attempts must not overlap, so this waits until the connection is closed.
                 opening.cancel()
--- a/sageturn/core/request_context.py
+++ b/sageturn/core/request_context.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 from sageturn import decision
 from sageturn.core.attempt_guard import AttemptGuard
@@ -70,6 +71,20 @@
         """Return the relay's time."""
         return self.balancer_actor.clock.now_ms()
 
+    async def wait_unless_interrupted(
+        self, *awaited: asyncio.Future[Any], timeout_s: float | None = None
+    ) -> None:
+        """Wait for one of ``awaited``, the client's disconnect, the forced drain or the end of the time."""
+        drain_forced = asyncio.ensure_future(self.drain_forced.wait())
+        try:
+            await asyncio.wait(
+                (*awaited, self.client.disconnect, drain_forced),
+                timeout=timeout_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            drain_forced.cancel()
+
     async def post_outcome(
         self, attempt: int, endpoint: str, close_reason: CloseReason, *, final: bool
     ) -> None:
