--- a/sageturn/lab/model/policy.py
+++ b/sageturn/lab/model/policy.py
@@ -16,6 +16,7 @@
 MAIN_MODULE = "balancer"
 # Modules of the decision package that a policy may replace, each after those that it imports.
 POLICY_MODULES = (
+    "adoption",
     "fleet_size",
     "rejection_streak",
     "fleet",
