--- a/sageturn/cli/lab.py
+++ b/sageturn/cli/lab.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated
 
@@ -27,7 +28,7 @@
 from sageturn.lab.runner.experiment_runner import run_experiment, run_scenario
 from sageturn.lab.runner.result_file import Line, Results
 from sageturn.lab.runner.scenario_shrinking import describe
-from sageturn.lab.runner.search import Evaluation, find_costly_scenarios, find_crossing, write_scenario
+from sageturn.lab.runner.search import Evaluation, Point, find_costly_scenarios, find_crossing, write_scenario
 from sageturn.lab.runner.search import sweep as sweep_values
 
 app = typer.Typer(
@@ -147,6 +148,11 @@
     ]
 
 
+def _print_sweep(title: str, knob: str, metric: str, points: Sequence[Point]) -> None:
+    rows = [[f"{point.value:g}", f"{point.metric:.4f}"] for point in points]
+    _print_table([[knob, metric], *rows], title)
+
+
 @app.command()
 def sweep(
     file: ExperimentFile,
@@ -183,8 +189,7 @@
             json.dumps({"points": [[point.value, point.metric] for point in points], "breaks_at": crossing})
         )
         return
-    rows = [[f"{point.value:g}", f"{point.metric:.4f}"] for point in points]
-    _print_table([[knob, metric], *rows], swept_scenario.name)
+    _print_sweep(swept_scenario.name, knob, metric, points)
     if crossing is None:
         print(f"{metric} does not cross {bound:g}")
     else:
--- a/sageturn/rebalance/overload_detector.py
+++ b/sageturn/rebalance/overload_detector.py
@@ -124,7 +124,16 @@
                 in the snapshots, but are no signal.
         """
         self._observe_endpoints(now_ms, connections, endpoints, out_of_service)
-        conditions = (
+        conditions = self._conditions(now_ms, connections)
+        signals = [signal for signal, holds in conditions if holds]
+        self.signal_counts.update(signals)
+        return signals
+
+    def _conditions(
+        self, now_ms: float, connections: ConnectionTable
+    ) -> tuple[tuple[OverloadSignal, bool], ...]:
+        """Return each signal with whether it holds now, in their order of precedence."""
+        return (
             (OverloadSignal.ENDPOINT_LIST_FAILED, self._endpoint_list_failed),
             (OverloadSignal.ENDPOINT_LOST, self._was_endpoint_lost(now_ms)),
             (OverloadSignal.ENDPOINT_DRAINING, self._is_any_endpoint_draining(now_ms)),
@@ -146,9 +155,6 @@
             (OverloadSignal.SLOW_SETUPS, self._has_slow_setups(now_ms)),
             (OverloadSignal.MISSING_CLIENTS, self._are_returns_missing(now_ms)),
         )
-        signals = [signal for signal, holds in conditions if holds]
-        self.signal_counts.update(signals)
-        return signals
 
     def _was_endpoint_lost(self, now_ms: float) -> bool:
         lost_ms = self._endpoint_lost_ms
--- a/tests/decision/test_slow_start.py
+++ b/tests/decision/test_slow_start.py
@@ -33,6 +33,21 @@
 CLASSES = (RequestClass("one", latency_objective_ms=800.0, give_up_ms=3200.0),)
 
 
+def make_settings(relays: int, index: int | None, tenant: Tenant, **fields: Any) -> Settings:
+    """Return the settings of one of ``relays``; ``fields`` are added to those of the slow start."""
+    return Settings(
+        classes=CLASSES,
+        tenants=(tenant,),
+        relay_count=relays,
+        index=index,
+        cold_overload_multiple=OVERLOAD_MULTIPLE,
+        cold_overload_window_ms=WINDOW_MS,
+        initial_capacity_ratio=INITIAL_CAPACITY_RATIO,
+        slow_start_ms=SLOW_START_MS,
+        **fields,
+    )
+
+
 def windows_over_budget(times: list[float], budget_at: Callable[[float], float]) -> list[tuple[int, float]]:
     """Return the number of attempts and the bound of each window that exceeds what an endpoint tolerates.
 
@@ -268,16 +283,8 @@
     allowance = rng.choice((3.0, 20.0, 150.0))
     for number in range(relays):
         quota = size * (1.0 + differ * (2.0 * rng.random() - 1.0))
-        settings = Settings(
-            classes=CLASSES,
-            tenants=(Tenant("t", allowance, quota),),
-            relay_count=relays,
-            index=number if numbered else None,
-            cold_overload_multiple=OVERLOAD_MULTIPLE,
-            cold_overload_window_ms=WINDOW_MS,
-            initial_capacity_ratio=INITIAL_CAPACITY_RATIO,
-            slow_start_ms=SLOW_START_MS,
-        )
+        index = number if numbered else None
+        settings = make_settings(relays, index, Tenant("t", allowance, quota))
         relay = Balancer(settings, seed * 1000 + number)
         notified_ms = 800.0 + 1500.0 * rng.random() * (1.0 + 4.0 * (rng.random() < 0.1))
         relay.handle(notified_ms, EndpointListEvent("full", [Endpoint("new", started_at_ms=1e-9)]))
@@ -316,16 +323,7 @@
     size = budget * SLOW_START_MS / OVERLOAD_MULTIPLE / WINDOW_MS
     taken: list[float] = []
     for number in range(relays):
-        settings = Settings(
-            classes=CLASSES,
-            tenants=(Tenant("t", 20.0, size),),
-            relay_count=relays,
-            index=number,
-            cold_overload_multiple=OVERLOAD_MULTIPLE,
-            cold_overload_window_ms=WINDOW_MS,
-            initial_capacity_ratio=INITIAL_CAPACITY_RATIO,
-            slow_start_ms=SLOW_START_MS,
-        )
+        settings = make_settings(relays, number, Tenant("t", 20.0, size))
         balancer = Balancer(settings, number)
         balancer.handle(800.0, EndpointListEvent("full", [Endpoint("new", started_at_ms=1e-9)]))
         for step in range(200):
@@ -356,17 +354,8 @@
     draining = [Endpoint(endpoint.name, "draining") for endpoint in found]
     sent: dict[str, list[float]] = {endpoint.name: [] for endpoint in returning}
     for number in range(relays):
-        settings = Settings(
-            classes=CLASSES,
-            tenants=(Tenant("t", 40.0, connections_per_endpoint * endpoint_count),),
-            relay_count=relays,
-            index=number,
-            cold_overload_multiple=OVERLOAD_MULTIPLE,
-            cold_overload_window_ms=WINDOW_MS,
-            initial_capacity_ratio=INITIAL_CAPACITY_RATIO,
-            slow_start_ms=SLOW_START_MS,
-            reports_delay=False,
-        )
+        tenant = Tenant("t", 40.0, connections_per_endpoint * endpoint_count)
+        settings = make_settings(relays, number, tenant, reports_delay=False)
         relay = Balancer(settings, number)
         relay.handle(4_000.0, EndpointListEvent(kind, found))
         relay.handle(6_000.0 + 10.0 * number, EndpointListEvent("changes", returning))
