Send no repeat of an adoption to an endpoint that has begun to drain

What an endpoint saw: a line 2.1 s after the relay had been told of its drain, past the grace. A fault of this change's own repeats: that the endpoint leaves was looked up as an attempt failed, not again before the next was written.

Change: a repeat passes the same check before it connects and before its first byte as any other attempt (listed ready at the same address, in service); the first attempt goes to a draining endpoint as before, since that one completes what it has. An endpoint that an operator took out of service counts as leaving.

The new test failed before (two lines arrived) and passes; 221 tests of adoption, races, ends, frontend and overrides passed.

--- a/sageturn/core/endpoint_registry.py
+++ b/sageturn/core/endpoint_registry.py
@@ -118,11 +118,14 @@
         return is_ready and not self.is_out_of_service(endpoint)
 
     def is_leaving(self, endpoint: str) -> bool:
-        """Return whether ``endpoint`` drains or was removed from the list; False if it was never listed."""
+        """Return whether ``endpoint`` drains, was removed from the list, or was taken out of service.
+
+        False if it was never listed.
+        """
         state = self.states.get(endpoint)
         if state is None:
             return endpoint in self.addresses
-        return state != EndpointStatus.READY
+        return state != EndpointStatus.READY or self.is_out_of_service(endpoint)
 
     def request_watch(self) -> None:
         """Request the next watch, without waiting, since the balancer's actor calls this."""
--- a/sageturn/frontends/frontend_connection.py
+++ b/sageturn/frontends/frontend_connection.py
@@ -45,8 +45,10 @@
             return CloseReason.NOT_SENT
         is_endpoint_usable: Callable[[], bool] | None = None
         # A connection that was established through an earlier relay process returns to its endpoint, even if
-        # the endpoint is draining.
-        if not self.lifecycle.record.request.established_endpoint:
+        # the endpoint is draining; it is not repeated there.
+        record = self.lifecycle.record
+        is_first_adoption = bool(record.request.established_endpoint) and record.attempts == 1
+        if not is_first_adoption:
             is_endpoint_usable = partial(
                 self._context.endpoint_registry.is_ready_at, endpoint, listed_address
             )
--- a/tests/core/test_connection_adoption.py
+++ b/tests/core/test_connection_adoption.py
@@ -146,6 +146,21 @@
         assert message.endswith(" endpoint=x cause=no_endpoint")
 
 
+async def test_an_endpoint_that_drains_before_the_next_attempt_of_an_adoption_does_not_get_it(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    async with running_relay(tmp_path, respond_with(b"BUSY\r\n")) as (relay, (endpoint,)):
+        await list_endpoint(relay, endpoint.address)
+        answer = asyncio.ensure_future(adopt(relay, "x"))
+        await wait_for_retries(caplog, 1)
+        await list_endpoint(relay, endpoint.address, "draining")
+        assert await asyncio.wait_for(answer, 5) == b"ERR lost\r\n"
+        assert len(endpoint.request_lines) == 1
+        (message,) = messages_of(caplog, "adoption given up")
+        assert message.endswith(" cause=no_endpoint")
+
+
 async def test_attempts_that_did_not_arrive_do_not_count_toward_the_limit(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
