Word two docstrings and a comment of the adoption's plan plainly

Need: the formatter had wrapped a comment into an expression, and two docstrings did not name endpoints that are out of service. No code changes otherwise.

--- a/sageturn/core/proxy_transport.py
+++ b/sageturn/core/proxy_transport.py
@@ -26,7 +26,10 @@
         """
 
     def is_endpoint_leaving(self, endpoint: str, /) -> bool:
-        """Return whether the endpoint drains or was removed from the list; False if it was never listed."""
+        """Return whether the endpoint drains, was removed from the list, or is out of service.
+
+        False if it was never listed.
+        """
 
     async def close_upstream(self) -> None:
         """Close the connection to the endpoint, which was established after its client had disconnected."""
--- a/sageturn/decision/adoption.py
+++ b/sageturn/decision/adoption.py
@@ -73,9 +73,8 @@
         self._deadline_ms = started_ms + max(0.0, min(wait_ms, ADOPTION_LIMIT_MS) - RESPONSE_MARGIN_MS)
         self._arrived_attempts = 0
         self._failures_since_arrival = 0  # attempts that did not arrive, since the last one that did
-        self._first_execution_ms: float | None = (
-            None  # start of the first attempt that may have been executed
-        )
+        # Start of the first attempt that may have been executed; None if there is none.
+        self._first_execution_ms: float | None = None
 
     def next_timeouts(self, now_ms: float) -> AttemptTimeouts:
         """Return the time limits of an attempt that begins now.
@@ -99,7 +98,7 @@
             now_ms: the time at which it ended.
             attempt_started_ms: the time at which it began.
             status: its outcome.
-            is_endpoint_leaving: True if the endpoint drains or has been removed from the list.
+            is_endpoint_leaving: True if the endpoint drains, was removed from the list or is out of service.
         """
         self._record_outcome(attempt_started_ms, status)
         if is_endpoint_leaving:
--- a/sageturn/frontends/frontend_connection.py
+++ b/sageturn/frontends/frontend_connection.py
@@ -72,7 +72,7 @@
                 sock.close()
 
     def is_endpoint_leaving(self, endpoint: str, /) -> bool:
-        """Return whether the endpoint drains or was removed from the list; False if it was never listed."""
+        """Return whether the endpoint drains, was removed from the list, or is out of service."""
         return self._context.endpoint_registry.is_leaving(endpoint)
 
     def _upstream_address(self, listed_address: Address) -> Address:
