Keep the acknowledged writes of a replica that starts over

A replica that is killed while it is filled for the first time lost what was written to it in the same way.

Cause: a replica that is not in sync starts over when it meets one that is. Store._survives_drop kept only what was written after it was last in sync; one that never was has no such time, so all went. The same time was cleared by the start over itself, so that a second death before the end of the filling dropped also what the first start over had kept.

Fix: a record stays if it was written within the horizon, as every replica still remembers its deletion. The others are withheld, not dropped, until the replica has the records and the tombstone floor of one in sync; then those above the floor come back, since a forgotten deletion has a larger version than what it deleted and is at most the floor. They remain in the log until then, and the state file keeps since when writes may be unsent. A member that an operator removed has a mark of its own and drops its records as before.

--- a/sageturn/store/replica_state.py
+++ b/sageturn/store/replica_state.py
@@ -22,21 +22,43 @@
         last_in_sync: Unix seconds; None if the replica is not known to have ever held all records of the
             others.
         tombstone_floor: The largest version among the tombstones that were discarded.
+        was_removed: True if an operator removed this member and it has not been in sync since.
+        unsent_since: Unix seconds after which records were written that others may lack, while
+            ``last_in_sync`` is None because the replica has started over; None if unknown.
     """
 
     last_in_sync: float | None = None
     tombstone_floor: int = 0
+    was_removed: bool = False
+    unsent_since: float | None = None
+
+    @property
+    def last_confirmed_sync(self) -> float | None:
+        """Unix seconds of the last time in sync, also of one before the replica started over."""
+        return self.unsent_since if self.last_in_sync is None else self.last_in_sync
 
 
 def _encode(state: ReplicaState) -> str:
-    return json.dumps({"in_step": state.last_in_sync, "floor": state.tombstone_floor})
+    fields: dict[str, object] = {"in_step": state.last_in_sync, "floor": state.tombstone_floor}
+    if state.was_removed:
+        fields["removed"] = True
+    if state.unsent_since is not None:
+        fields["unsent_since"] = state.unsent_since
+    return json.dumps(fields)
 
 
 def _decode(text: str) -> ReplicaState:
     fields = json.loads(text)
-    last_in_sync = fields["in_step"]
-    tombstone_floor = int(fields["floor"])
-    return ReplicaState(None if last_in_sync is None else float(last_in_sync), tombstone_floor)
+    return ReplicaState(
+        last_in_sync=_decode_time(fields["in_step"]),
+        tombstone_floor=int(fields["floor"]),
+        was_removed=fields.get("removed") is True,
+        unsent_since=_decode_time(fields.get("unsent_since")),
+    )
+
+
+def _decode_time(value: float | None) -> float | None:
+    return None if value is None else float(value)
 
 
 def read_replica_state(path: Path) -> ReplicaState:
@@ -80,7 +102,10 @@
 
         A time less than ``SYNC_TIME_WRITE_INTERVAL_S`` after the one in the file is held in memory only.
         """
-        state = replace(self.state, last_in_sync=at)
+        if at is None:
+            state = replace(self.state, last_in_sync=None)
+        else:
+            state = ReplicaState(at, self.state.tombstone_floor)
         written = self._written_last_in_sync
         if at is None or written is None or at - written >= SYNC_TIME_WRITE_INTERVAL_S:
             self._written_last_in_sync = at
@@ -88,6 +113,21 @@
         else:
             self.state = state
 
+    def mark_removed(self) -> None:
+        """Record that an operator removed this member, which then does not count as having been in sync."""
+        self._written_last_in_sync = None
+        self._try_to_write(ReplicaState(None, self.state.tombstone_floor, was_removed=True))
+
+    def on_start_over(self) -> None:
+        """Record that this replica is not in sync any more, and since when records may be unsent.
+
+        Raises:
+            OSError: Only the memory has the new state.
+        """
+        state = self.state
+        self._written_last_in_sync = None
+        self.write(ReplicaState(None, state.tombstone_floor, unsent_since=state.last_confirmed_sync))
+
     def raise_tombstone_floor(self, floor: int) -> None:
         """Record that tombstones up to version ``floor`` were discarded, here or by another replica."""
         if floor > self.state.tombstone_floor:
--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -155,12 +155,23 @@
         self._is_announced = True
 
     def _start_over(self) -> None:
-        """Drop the records of others, after being out of sync for longer than tombstones are retained."""
-        dropped = self.store.drop_replicated_records()
+        """Remove what may be deleted elsewhere, after being out of sync for longer than tombstones are kept.
+
+        A member that was removed and added again drops it. Any other withholds it until it has fetched the
+        records and the tombstone floor of a replica that is in sync (``_release_quarantine``).
+        """
+        store = self.store
+        dropped = withheld = 0
+        if store.replica_state.was_removed:
+            dropped = store.drop_replicated_records()
+        else:
+            withheld = store.quarantine_records(self.sync_status.deletable_before)
         log.warning(
-            "replica starts over node=%s reason=out_of_sync_beyond_horizon dropped_records=%d",
-            self.store.node,
+            "replica starts over node=%s reason=out_of_sync_beyond_horizon"
+            " dropped_records=%d withheld_records=%d",
+            store.node,
             dropped,
+            withheld,
         )
         self.sync_status.on_started_over()
         self._session_table.close_all("starting over", CloseCode.LATER)
@@ -185,11 +196,18 @@
         else:
             self._session_table.close_with(node, f"{node} was removed", CloseCode.REMOVED)
 
+    def _release_quarantine(self) -> None:
+        """Restore the withheld records that nobody can have deleted, once this replica is in sync again."""
+        store = self.store
+        if store.quarantined_records and self.sync_status.recently_in_sync:
+            dropped = store.release_quarantine()
+            log.warning("withheld records released node=%s dropped_records=%d", store.node, dropped)
+
     def _on_own_removal(self, source: str) -> None:
         """Clear the time of the last sync, so that this member starts over if it is added again."""
-        if self.store.replica_state.last_in_sync is not None:
+        if not self.store.replica_state.was_removed:
             log.warning("member removed node=%s source=%s", self.store.node, source)
-            self.store.set_last_in_sync(None)
+            self.store.mark_removed()
 
     # ------------------------------------------------------------ sessions
 
@@ -290,6 +308,7 @@
         if session.peer_recently_in_sync and self.sync_status.on_in_sync(in_sync_at):
             # Records that peers which are not in sync still offer may have been deleted in the meantime.
             self._session_table.close_unsynced("in step now: greet again")
+        self._release_quarantine()
 
     # ------------------------------------------------------------ time
 
@@ -302,6 +321,7 @@
         if now >= self._maintenance_at:
             self._maintenance_at = now + MAINTENANCE_INTERVAL_S
             self.sync_status.update_settling(now, self._session_table.may_settle())
+            self._release_quarantine()
             self._discard_tombstones(now)
         if self._links is None:
             return TickResult((), self._maintenance_at)
--- a/sageturn/store/replication/sync_status.py
+++ b/sageturn/store/replication/sync_status.py
@@ -2,8 +2,8 @@
 
 The horizon is the time for which tombstones are retained. A replica is recently in sync if at some time
 within the horizon it held all records of the others. A replica that is not recently in sync may hold records
-whose tombstones the others have discarded. When it connects to one that is, it therefore drops the records of
-others and fetches them again; until then no replica that is recently in sync accepts records from it.
+whose tombstones the others have discarded. When it connects to one that is, it therefore withholds these
+records and fetches the peer's; until then no replica that is recently in sync accepts records from it.
 """
 
 from __future__ import annotations
@@ -31,6 +31,11 @@
         last_in_sync = self._store.replica_state.last_in_sync
         return last_in_sync is not None and self._store.wall_clock() - last_in_sync <= self._horizon_s
 
+    @property
+    def deletable_before(self) -> float:
+        """Unix seconds; the deletion of a record that was written before may have been discarded."""
+        return self._store.wall_clock() - self._horizon_s
+
     @property
     def holds_replicated_records(self) -> bool:
         """True if it holds records of others that may be deleted elsewhere unless it is recently in sync."""
@@ -62,7 +67,7 @@
         return is_initial_sync_complete
 
     def on_started_over(self) -> None:
-        """Reset the status after the records of all others were dropped."""
+        """Reset the status after all records that may be deleted elsewhere were removed from the store."""
         self._holds_unverified_records = False
         self._initial_sync_since = None
 
--- a/sageturn/store/store.py
+++ b/sageturn/store/store.py
@@ -6,11 +6,13 @@
 import logging
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 from sageturn.store.compacting_log import MIN_COMPACTION_BYTES, CompactingLog
 from sageturn.store.errors import InvalidRecordError
+from sageturn.store.quarantine import Quarantine
 from sageturn.store.records import (
     MAX_KEY_LENGTH,
     MAX_VALUE_BYTES,
@@ -61,6 +63,7 @@
         self.on_change: list[Callable[[list[StoreRecord]], None]] = []
         self.on_discarded: list[Callable[[list[str]], None]] = []
         self._records: dict[str, StoreRecord] = {}
+        self._quarantine = Quarantine()
         self._log = None if path is None else CompactingLog(path, min_compaction_bytes)
         self.replica_state_file = ReplicaStateFile(path)
         if self._log is not None:
@@ -121,7 +124,7 @@
             raise InvalidRecordError(f"key: {key} is empty, too long or not writable by node {self.node}")
         if len(json.dumps(value)) > MAX_VALUE_BYTES:
             raise InvalidRecordError(f"value: the JSON value of {key} is larger than {MAX_VALUE_BYTES} bytes")
-        known = self._records.get(key)
+        known = self._records.get(key) or self._quarantine.get(key)
         # The version exceeds every discarded tombstone: another replica may still have one, and must not win.
         version = known.version + 1 if known else self.replica_state.tombstone_floor + 1
         record = StoreRecord(key, value, version, self.node, int(self.wall_clock() * 1000.0))
@@ -170,7 +173,7 @@
             # Compaction removes discarded tombstones from the log: a floor not below their versions has to be
             # on disk first.
             self.replica_state_file.flush()
-            self._log.compact(self._records.values())
+            self._log.compact([*self._records.values(), *self._quarantine])
 
     def _try_to_compact(self, record_log: CompactingLog) -> None:
         """Compact the log; on failure the log is still intact, and the compaction is retried later."""
@@ -193,8 +196,62 @@
         if discarded:
             self._notify_discarded([record.key for record in discarded])
 
+    def quarantine_records(self, deletable_before: float) -> int:
+        """Withhold the records that other nodes may have deleted while this replica was long out of sync.
+
+        Records stay that are this node's own states, that were written after it was last in sync, or that
+        were written at or after ``deletable_before``, Unix seconds: others still hold the deletions of these.
+        The log keeps all records until ``release_quarantine``, so that a restart in the meantime loses none.
+        It is also copied for operators to a file with the suffix ``.dropped-`` and the Unix time.
+
+        Returns:
+            The number of records that are withheld.
+
+        Raises:
+            OSError: The backup or the replica's state cannot be written; the store is unchanged.
+        """
+        withheld = [
+            record
+            for record in self._records.values()
+            if not self._survives_drop(record) and not _is_written_since(record, deletable_before)
+        ]
+        self._back_up_log()
+        self.replica_state_file.on_start_over()
+        self._quarantine.add(withheld)
+        self._remove([record.key for record in withheld])
+        return len(withheld)
+
+    @property
+    def quarantined_records(self) -> list[StoreRecord]:
+        """The records that are withheld until ``release_quarantine``."""
+        return list(self._quarantine)
+
+    def release_quarantine(self) -> int:
+        """Restore the withheld records that nobody can have deleted, and drop the others.
+
+        The caller has made sure that this store holds all records and the tombstone floor of a replica that
+        is in sync.
+
+        Returns:
+            The number of records that were dropped.
+
+        Raises:
+            OSError: The log or the replica's state cannot be written; the records are still withheld.
+        """
+        state = self.replica_state
+        restored = self._quarantine.restorable(state.tombstone_floor)
+        self.merge(restored)
+        restored_keys = {record.key for record in restored}
+        dropped = [record for record in self._quarantine if record.key not in restored_keys]
+        floor = max([state.tombstone_floor, *(record.version for record in dropped)])
+        self.replica_state_file.write(replace(state, tombstone_floor=floor))
+        self._quarantine.clear()
+        if self._log is not None and dropped:
+            self._try_to_compact(self._log)
+        return len(dropped)
+
     def drop_replicated_records(self) -> int:
-        """Drop replicated records that other nodes may have deleted while this replica was long out of sync.
+        """Drop the records of a member that an operator removed, which is added again.
 
         This node's own states are retained, and so are records that were written after it was last in sync.
         The old log is copied for operators to a file with the suffix ``.dropped-`` and the Unix time.
@@ -206,14 +263,11 @@
             OSError: The backup or the replica's state cannot be written; no record was dropped.
         """
         dropped = [record.key for record in self._records.values() if not self._survives_drop(record)]
-        if self._log is not None:
-            self._log.back_up(f"dropped-{int(self.wall_clock())}")
+        self._back_up_log()
         dropped_versions = [self._records[key].version for key in dropped]
         floor = max([self.replica_state.tombstone_floor, *dropped_versions])
         self.replica_state_file.write(ReplicaState(None, floor))
-        for key in dropped:
-            del self._records[key]
-        self._notify_discarded(dropped)
+        self._remove(dropped)
         if self._log is not None:
             # If the compaction fails, the next restart drops the same records again.
             self._try_to_compact(self._log)
@@ -223,8 +277,17 @@
         """Return whether a record is this node's state, or is newer than the last time in sync."""
         if record.key.startswith(f"{STATE_PREFIX}{self.node}/"):
             return True
-        last_in_sync = self.replica_state.last_in_sync
-        return last_in_sync is not None and (record.written_ms or 0) > last_in_sync * 1000.0
+        last_sync = self.replica_state.last_confirmed_sync
+        return last_sync is not None and (record.written_ms or 0) > last_sync * 1000.0
+
+    def _back_up_log(self) -> None:
+        if self._log is not None:
+            self._log.back_up(f"dropped-{int(self.wall_clock())}")
+
+    def _remove(self, keys: list[str]) -> None:
+        for key in keys:
+            del self._records[key]
+        self._notify_discarded(keys)
 
     def _notify_discarded(self, keys: list[str]) -> None:
         for on_discarded in self.on_discarded:
@@ -241,6 +304,15 @@
         """Set the Unix time at which this replica was last in sync; None if unknown."""
         self.replica_state_file.set_last_in_sync(at)
 
+    def mark_removed(self) -> None:
+        """Record that an operator removed this member: if it is added again, it drops what it holds."""
+        self.replica_state_file.mark_removed()
+
     def raise_tombstone_floor(self, floor: int) -> None:
         """Record that tombstones up to version ``floor`` were discarded, here or by another replica."""
         self.replica_state_file.raise_tombstone_floor(floor)
+
+
+def _is_written_since(record: StoreRecord, since: float) -> bool:
+    """Return whether a record was written at or after Unix seconds; False if its time is unknown."""
+    return record.written_ms is not None and record.written_ms >= since * 1000.0
--- a/tests/support/replication_fleet.py
+++ b/tests/support/replication_fleet.py
@@ -174,7 +174,7 @@
         old = self.store(name)
         new = Store(name, wall_clock=self.wall)
         if not wiped:
-            new.merge(old.records())
+            new.merge([*old.records(), *old.quarantined_records])  # a log has both
             new.replica_state_file.state = old.replica_state
         self.start(name, new)
 
