Serve no command at a replica that has not caught up with the others

Cause: a command fetches the records of one replica and derives the version of its write from them. A replica that had just started served commands before it had fetched the others' records, so the write got version 1 where the others held version 2. A trace in simulated time on the code before: "second" has order (2, operator-2) at a, b and c; b restarted holds nothing; "third", written and acknowledged at b, has order (1, operator-3); 20 s later all three hold (2, operator-2).

Fix: a replica rejects clients, with a reason and the close code "later", until it holds all that its peers had when they linked and one of them is in sync; where none is in sync or reached, until 7 s after its start, the loss of its last link or its start over. The command comes back for up to 60 s. No message changes: a client of the previous build prints the reason. A count, two log lines and a state field tell of it.

--- a/sageturn/store/replication/ephemeral_client.py
+++ b/sageturn/store/replication/ephemeral_client.py
@@ -29,6 +29,7 @@
 MIN_RECONNECT_BACKOFF_S = 0.1
 MAX_RECONNECT_BACKOFF_S = 1.0
 DEFAULT_TIMEOUT_S = 5.0
+MAX_CATCH_UP_WAIT_S = 60.0
 
 
 @asynccontextmanager
@@ -42,7 +43,8 @@
     Args:
         peer: The member's address.
         secret: The key from ``read_secret``.
-        timeout_s: Maximum time to wait without a new record.
+        timeout_s: Maximum time to wait without a new record. While the member asks to come back later, as
+            it is still catching up with others, the client waits up to ``MAX_CATCH_UP_WAIT_S``.
 
     Raises:
         TimeoutError: The member did not answer, or did not acknowledge the written records. The message
@@ -73,6 +75,7 @@
         self._link_runner = LinkRunner(self._replica, secret, output_signal)
         self._sessions: list[ReplicationSession] = []
         self._failures: list[str] = []
+        self._asked_to_wait_at: float | None = None  # monotonic seconds
 
     async def keep_connected(self) -> None:
         """Run one link after another, with a backoff between them, until the task is cancelled."""
@@ -88,6 +91,8 @@
                     sock.close()
                 for session in self._sessions:
                     self._failures.append(session.closing.peer_detail or session.closing.detail)
+                    if session.closing.peer_code == CloseCode.LATER:
+                        self._asked_to_wait_at = time.monotonic()
                 self._sessions.clear()
             await asyncio.sleep(backoff.next_delay_s())
 
@@ -95,18 +100,25 @@
         """Wait until a session fulfils the condition.
 
         Raises:
-            TimeoutError: No new record has arrived within the timeout.
+            TimeoutError: No new record has arrived within the timeout, and the member has not asked to wait.
         """
-        deadline = time.monotonic() + self._timeout_s
+        started_at = progress_at = time.monotonic()
         record_count = len(self.store)
         while not any(condition(session) for session in self._sessions):
-            if time.monotonic() >= deadline:
+            if time.monotonic() >= self._deadline(started_at, progress_at):
                 raise TimeoutError("; ".join(dict.fromkeys(filter(None, self._failures))))
             await asyncio.sleep(PROGRESS_POLL_INTERVAL_S)
             if len(self.store) != record_count:
-                deadline = time.monotonic() + self._timeout_s
+                progress_at = time.monotonic()
                 record_count = len(self.store)
 
+    def _deadline(self, started_at: float, progress_at: float) -> float:
+        deadline = progress_at + self._timeout_s
+        if self._asked_to_wait_at is None:
+            return deadline
+        wait_until = self._asked_to_wait_at + self._timeout_s
+        return max(deadline, min(wait_until, started_at + MAX_CATCH_UP_WAIT_S))
+
     async def disconnect(self) -> None:
         """Close the session, and wait up to ``CLOSE_TIMEOUT_S`` until the close message is sent."""
         for session in self._sessions:
--- a/sageturn/store/replication/member.py
+++ b/sageturn/store/replication/member.py
@@ -69,6 +69,7 @@
             options.max_bytes_per_s,
             options.horizon_s,
             ReplicaCallbacks(output_signal.notify, tick_due.set),
+            expects_peers=any(seed != self.address for seed in options.seeds),
         )
         self._link_runner = LinkRunner(self.replica, options.secret, output_signal)
         self._dialer = LinkDialer(self.replica, self._link_runner, tick_due)
@@ -85,6 +86,8 @@
             self.link_count,
             self.replica.sync_status.recently_in_sync,
             self.replica.zones.ages(time.monotonic()),
+            self.replica.catch_up.is_caught_up,
+            self.replica.catch_up.rejected_clients,
         )
         return report.encode()
 
--- a/sageturn/store/replication/peer_session.py
+++ b/sageturn/store/replication/peer_session.py
@@ -33,6 +33,10 @@
     def is_ephemeral(self) -> bool:
         """True if one side is an operator's client, to which no rule of membership applies."""
 
+    @property
+    def is_caught_up(self) -> bool:
+        """True if this side has all that the peer had when the session was established."""
+
     @property
     def closing(self) -> SessionClosing:
         """Close reasons of both sides."""
--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -18,6 +18,7 @@
 from sageturn.store.records import StoreRecord
 from sageturn.store.replication.backoff import Backoff
 from sageturn.store.replication.byte_budget import ByteBudget
+from sageturn.store.replication.catch_up import CatchUpMonitor
 from sageturn.store.replication.close_code import CloseCode
 from sageturn.store.replication.incarnation import next_incarnation
 from sageturn.store.replication.location import ReplicaLocation
@@ -71,7 +72,8 @@
 class Replica:
     """Replica of a member, or, without a ``location``, of an ephemeral client, which is not a member.
 
-    Without ``make_topology`` it dials no member and accepts links from every member.
+    Without ``make_topology`` it dials no member and accepts links from every member. ``expects_peers`` says
+    whether it has seeds: it then serves no client before it has looked for other members.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         max_bytes_per_s: float = DEFAULT_MAX_BYTES_PER_S,
         horizon_s: float = DEFAULT_HORIZON_S,
         callbacks: ReplicaCallbacks = ReplicaCallbacks(),
+        expects_peers: bool = False,
     ) -> None:
         self.store = store
         self.location = location
@@ -91,10 +94,12 @@
         self.sync_status = SyncStatus(store, horizon_s)
         self.records = ReplicatedRecords(store, horizon_s, self)
         self.zones = ZoneLiveness(None if location is None else location.zone_label)
+        self.catch_up = CatchUpMonitor(store.node, now)
         self._callbacks = callbacks
         self._rng = rng
         self._horizon_s = horizon_s
         self._make_topology = make_topology
+        self._expects_peers = expects_peers
         self._links: TopologyLinks | None = None
         self._session_table = SessionTable(store.node, self.sync_status)
         self._is_announced = False
@@ -104,6 +109,7 @@
         self._begin_incarnation()
         store.on_change.append(self.records.on_store_changed)
         store.on_discarded.append(self.records.on_records_discarded)
+        self._has_caught_up(now)
 
     def close(self) -> None:
         """Unsubscribe from the store's changes."""
@@ -154,7 +160,7 @@
             self.store.put(key, value)
         self._is_announced = True
 
-    def _start_over(self) -> None:
+    def _start_over(self, now: float) -> None:
         """Remove what may be deleted elsewhere, after being out of sync for longer than tombstones are kept.
 
         A member that was removed and added again drops it. Any other withholds it until it has fetched the
@@ -174,6 +180,7 @@
             withheld,
         )
         self.sync_status.on_started_over()
+        self.catch_up.restart(now)
         self._session_table.close_all("starting over", CloseCode.LATER)
         self._begin_incarnation()
 
@@ -234,14 +241,20 @@
         self.sessions.remove(session)
         self._callbacks.on_tick_due()
         if not self.is_ephemeral:
-            self._on_peer_closed(session.closing.peer_code)
+            self._on_peer_closed(session.closing.peer_code, now)
+        if (
+            session.peer_hello is not None
+            and not session.is_ephemeral
+            and not self._session_table.established()
+        ):
+            self.catch_up.restart(now)
         if self._links is not None and not session.is_ephemeral:
             self._links.on_session_closed(session, now)
 
-    def _on_peer_closed(self, close_code: str) -> None:
+    def _on_peer_closed(self, close_code: str, now: float) -> None:
         if close_code == CloseCode.AWAY:
             if self.sync_status.holds_replicated_records and not self.sync_status.recently_in_sync:
-                self._start_over()
+                self._start_over(now)
         elif close_code == CloseCode.REMOVED:
             self._on_own_removal("peer")
 
@@ -257,7 +270,10 @@
         Raises:
             SessionRejectedError: The session has to be closed.
         """
-        if hello.is_ephemeral or self.is_ephemeral:
+        if self.is_ephemeral:
+            return
+        if hello.is_ephemeral:
+            self._check_client_admission(now)
             return
         if hello.node == self.store.node:
             raise SessionRejectedError(
@@ -266,13 +282,27 @@
         if hello.node in self.records.directory.removed:
             raise SessionRejectedError(f"{hello.node} was removed", CloseCode.REMOVED)
         if hello.recently_in_sync and not claims_sync and self.sync_status.holds_replicated_records:
-            self._start_over()
+            self._start_over(now)
             text = "away for longer than deletions are remembered: starting over"
             raise SessionRejectedError(text, CloseCode.LATER)
         self._session_table.check_sync_claims(hello, claims_sync)
         if session.dialed_address is None and self._links is not None:
             self._links.check_admission(hello, now)
 
+    def _check_client_admission(self, now: float) -> None:
+        """Reject a client that could write over newer records which this replica has not fetched yet."""
+        if not self._has_caught_up(now):
+            self.catch_up.rejected_clients += 1
+            text = f"{self.store.node} is still catching up with the other members: try again shortly"
+            raise SessionRejectedError(text, CloseCode.LATER)
+
+    def _has_caught_up(self, now: float) -> bool:
+        """Return whether this replica holds what the other members had when they linked to it."""
+        if self.members.keys() - {self.store.node}:
+            self._expects_peers = True  # also while a start over withholds the others' advertisements
+        followed = [session for session in self._session_table.open_sessions() if self.may_follow(session)]
+        return self.catch_up.update(now, self._expects_peers, followed)
+
     def on_session_established(self, session: PeerSession, now: float) -> None:
         """Handle a session whose peer was admitted."""
         assert session.peer_hello is not None
@@ -300,8 +330,10 @@
             self.sync_status.on_records_applied(session.peer_recently_in_sync)
         return applied
 
-    def on_session_progress(self, session: PeerSession) -> None:
+    def on_session_progress(self, session: PeerSession, now: float) -> None:
         """Handle a message after which this replica may be in sync with the peer."""
+        if not self.is_ephemeral and not self.catch_up.is_caught_up:
+            self._has_caught_up(now)
         in_sync_at = session.take_sync_time()
         if in_sync_at is None or self.is_ephemeral or session.is_ephemeral:
             return
@@ -320,6 +352,7 @@
         """
         if now >= self._maintenance_at:
             self._maintenance_at = now + MAINTENANCE_INTERVAL_S
+            self._has_caught_up(now)
             self.sync_status.update_settling(now, self._session_table.may_settle())
             self._release_quarantine()
             self._discard_tombstones(now)
--- a/sageturn/store/replication/session.py
+++ b/sageturn/store/replication/session.py
@@ -210,7 +210,7 @@
                 self._on_hello(body, now)
             case _:
                 self._handle_established(kind, body, now)
-                self._context.on_session_progress(self)
+                self._context.on_session_progress(self, now)
 
     def _handle_established(self, kind: MessageKind, body: object, now: float) -> None:
         changes = self.change_exchange
--- a/sageturn/store/replication/session_context.py
+++ b/sageturn/store/replication/session_context.py
@@ -54,7 +54,7 @@
     def on_session_established(self, session: PeerSession, now: float) -> None:
         """Handle a session whose peer was admitted."""
 
-    def on_session_progress(self, session: PeerSession) -> None:
+    def on_session_progress(self, session: PeerSession, now: float) -> None:
         """Handle a message after which this replica may be in sync with the peer."""
 
     def may_follow(self, session: PeerSession) -> bool:
--- a/sageturn/store/replication/session_table.py
+++ b/sageturn/store/replication/session_table.py
@@ -32,6 +32,14 @@
             if session.peer_hello is not None and not session.is_ephemeral
         ]
 
+    def open_sessions(self) -> list[ReplicationSession]:
+        """Return the established sessions with other members that neither side has ended."""
+        return [
+            session
+            for session in self.established()
+            if not session.closing.detail and not session.closing.peer_detail
+        ]
+
     def is_connected_to(self, peer: str) -> bool:
         """Return whether there is an established session with a peer."""
         return any(session.peer == peer and session.peer_hello for session in self.sessions)
--- a/sageturn/store/replication/state_report.py
+++ b/sageturn/store/replication/state_report.py
@@ -17,19 +17,28 @@
         link_count: The number of established links.
         recently_in_sync: True if the replica was recently in sync with the others.
         zone_ages_s: The seconds since the last message from each zone, by the zone's label.
+        is_caught_up: True if clients are served; see ``CatchUpMonitor``.
+        rejected_clients: The number of clients that were rejected while it had not caught up.
     """
 
     link_count: int
     recently_in_sync: bool
     zone_ages_s: dict[str, float]
+    is_caught_up: bool = True
+    rejected_clients: int = 0
 
     def encode(self) -> dict[str, object]:
         """Return the value of the state record that the relay writes."""
-        return {
+        fields: dict[str, object] = {
             "links": self.link_count,
             "in_step": self.recently_in_sync,
             "silent_s": self._unresponsive_zone_ages_s(),
         }
+        if not self.is_caught_up:
+            fields["catching_up"] = True
+        if self.rejected_clients:
+            fields["rejected_clients"] = self.rejected_clients
+        return fields
 
     def _unresponsive_zone_ages_s(self) -> dict[str, int]:
         return {
--- a/tests/support/replication_fleet.py
+++ b/tests/support/replication_fleet.py
@@ -140,6 +140,8 @@
         self.replicas: dict[str, Replica] = {}
         self.connections: dict[tuple[str, str], SimulatedConnection] = {}
         self.rejections: list[str] = []
+        self.expects_peers = False  # whether replicas that are started from now on have seeds
+        self._client_count = 0
         self.invariants = ClusterInvariants(self)
         for name in names:
             self.start(name, Store(name, wall_clock=self.wall))
@@ -156,6 +158,7 @@
             location,
             max_bytes_per_s=self.rate,
             horizon_s=self.horizon_s,
+            expects_peers=self.expects_peers,
         )
         self.invariants.on_replica_started(name)
 
@@ -167,6 +170,27 @@
     def put(self, name: str, key: str, value: object) -> StoreRecord:
         return self.store(name).put(key, value)
 
+    def write_through_client(self, name: str, key: str, value: object, seconds: float = 30.0) -> bool:
+        """Write as an operator's command does; return whether the replica has acknowledged the write."""
+        self._client_count += 1
+        client = f"operator-{self._client_count}"
+        store = Store(client, wall_clock=self.wall)
+        self.replicas[client] = Replica(store, random.Random(self.rng.random()), self.now)
+        self.connect(client, name)
+        session = self.connections[client, name].sessions[client]
+        is_written = False
+        until = self.now + seconds
+        while (client, name) in self.connections and self.now < until:
+            if session.is_caught_up and not is_written:
+                store.put(key, value)
+                is_written = True
+            if is_written and session.change_exchange.is_delivered:
+                break
+            self.run(0.02)
+        self.disconnect(client, name)
+        del self.replicas[client]
+        return is_written and session.change_exchange.is_delivered
+
     def restart(self, name: str, wiped: bool = False) -> None:
         """Restart a replica with the records on its disk, or with none if it was wiped."""
         for ends in [ends for ends in self.connections if name in ends]:
