Let a command's write win over a deletion that its replica has forgotten

A key whose deletion one replica has forgotten and another one still holds is written again by a command at the first: acknowledged, and gone everywhere once the other's tombstone arrives.

Cause: unknown keys are written above the tombstone floor, which members take from each other's hello. Replica.on_session_established returned before that for the sessions of clients, so the client wrote version 1 against the tombstone's 2.

Fix: a client takes the floor from its member's hello too.

--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -306,9 +306,10 @@
     def on_session_established(self, session: PeerSession, now: float) -> None:
         """Handle a session whose peer was admitted."""
         assert session.peer_hello is not None
+        # A client needs the floor as well: it writes an unknown key above all discarded tombstones.
+        self.store.raise_tombstone_floor(session.peer_hello.tombstone_floor)
         if session.is_ephemeral:
             return
-        self.store.raise_tombstone_floor(session.peer_hello.tombstone_floor)
         self._session_table.close_conflicting(session)
         if self._links is not None and not session.closing.detail:
             self._links.on_session_established(session, now)
