Order the writes of commands by time, above all that their replica holds

A version counted the writes known where it was made, so two earlier writes outweighed a later one. A replica that reaches nobody, or whose peers have not sent everything, cannot wait for what it does not know of.

Fix: the version of a command's write is at least its time in Unix milliseconds, and above what its replica holds and has forgotten (a hybrid logical clock). States have one writer and count as before.

--- a/sageturn/cli/store.py
+++ b/sageturn/cli/store.py
@@ -64,7 +64,7 @@
 
     def _run(self, action: Callable[[Store], Result]) -> Result:
         try:
-            store = Store(self.node, self.path)
+            store = Store(self.node, self.path, versions_follow_clock=True)
             try:
                 return action(store)
             finally:
--- a/sageturn/store/replication/ephemeral_client.py
+++ b/sageturn/store/replication/ephemeral_client.py
@@ -66,7 +66,7 @@
     """The client's store, with a replica that maintains one link to the member."""
 
     def __init__(self, peer: Address, secret: bytes, timeout_s: float) -> None:
-        self.store = Store(f"operator-{secrets.token_hex(4)}")
+        self.store = Store(f"operator-{secrets.token_hex(4)}", versions_follow_clock=True)
         self._peer = peer
         self._timeout_s = timeout_s
         output_signal = OutputSignal()
--- a/sageturn/store/store.py
+++ b/sageturn/store/store.py
@@ -43,6 +43,7 @@
         path: Path | None = None,
         wall_clock: Callable[[], float] = time.time,
         min_compaction_bytes: int = MIN_COMPACTION_BYTES,
+        versions_follow_clock: bool = False,
     ) -> None:
         """Open the store.
 
@@ -52,6 +53,9 @@
                 survive a restart.
             wall_clock: Returns Unix seconds.
             min_compaction_bytes: Minimum size of a log that is compacted.
+            versions_follow_clock: Whether the versions of this node's writes are at least Unix milliseconds,
+                so that of two writes at replicas that have not exchanged them the later one wins. Meant for
+                records with several writers; the only writer of a state counts.
 
         Raises:
             LogInUseError: Another process has the log open.
@@ -60,6 +64,7 @@
         """
         self.node = node
         self.wall_clock = wall_clock
+        self._versions_follow_clock = versions_follow_clock
         self.on_change: list[Callable[[list[StoreRecord]], None]] = []
         self.on_discarded: list[Callable[[list[str]], None]] = []
         self._records: dict[str, StoreRecord] = {}
@@ -124,12 +129,17 @@
             raise InvalidRecordError(f"key: {key} is empty, too long or not writable by node {self.node}")
         if len(json.dumps(value)) > MAX_VALUE_BYTES:
             raise InvalidRecordError(f"value: the JSON value of {key} is larger than {MAX_VALUE_BYTES} bytes")
+        written_ms = int(self.wall_clock() * 1000.0)
+        record = StoreRecord(key, value, self._next_version(key, written_ms), self.node, written_ms)
+        self._apply([record])
+        return record
+
+    def _next_version(self, key: str, written_ms: int) -> int:
+        """Return a version above all that are known here of a key, however the clock was stepped."""
         known = self._records.get(key) or self._quarantine.get(key)
         # The version exceeds every discarded tombstone: another replica may still have one, and must not win.
         version = known.version + 1 if known else self.replica_state.tombstone_floor + 1
-        record = StoreRecord(key, value, version, self.node, int(self.wall_clock() * 1000.0))
-        self._apply([record])
-        return record
+        return max(version, written_ms) if self._versions_follow_clock else version
 
     def merge(self, records: Iterable[StoreRecord]) -> int:
         """Apply the records of another replica that supersede this one's; return their number.
--- a/tests/support/replication_fleet.py
+++ b/tests/support/replication_fleet.py
@@ -174,7 +174,7 @@
         """Write as an operator's command does; return whether the replica has acknowledged the write."""
         self._client_count += 1
         client = f"operator-{self._client_count}"
-        store = Store(client, wall_clock=self.wall)
+        store = Store(client, wall_clock=self.wall, versions_follow_clock=True)
         self.replicas[client] = Replica(store, random.Random(self.rng.random()), self.now)
         self.connect(client, name)
         session = self.connections[client, name].sessions[client]
