Take from a client only the records that it wrote itself

A command that is open while its replica restarts connects again and offers its whole copy of the records to the new incarnation, also those that were deleted and whose deletion was forgotten in the meantime: they were back on all replicas.

Fix: of a client a replica applies only records under the client's own authenticated name.

--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -322,10 +322,15 @@
     def apply_records(self, records: Iterable[StoreRecord], session: PeerSession) -> int:
         """Merge records that a session received into the store; return how many were newer.
 
+        Of a client only what it wrote itself counts: its copy of the others is older than the members', and
+        may hold records that were deleted in the meantime.
+
         Raises:
             OSError: The log cannot be written.
         """
         assert session.peer_hello is not None
+        if session.is_ephemeral and not self.is_ephemeral:
+            records = [record for record in records if record.node == session.peer]
         applied = self.records.apply(records, session.peer_hello.incarnation)
         if applied and not session.is_ephemeral:
             self.sync_status.on_records_applied(session.peer_recently_in_sync)
--- a/tests/store/test_client_writes.py
+++ b/tests/store/test_client_writes.py
@@ -100,3 +100,29 @@
     written = store.record(KEY)
     assert written is not None and supersedes(written, StoreRecord(KEY, "elsewhere", clock_ms, "operator-1"))
     store.close()
+
+
+def test_a_client_that_connects_again_brings_back_nothing_but_its_own_writes() -> None:
+    # Guards against deleted records that return from the copy of a client whose member was restarted.
+    cluster = make_synced_cluster("abc", 1, horizon_s=60.0)
+    assert cluster.write_through_client("a", KEY, "to be deleted")
+    cluster.run(3.0)
+    client = cluster.start_client()
+    cluster.connect(client, "a")
+    cluster.run(1.0)
+    assert cluster.store(client).get(KEY) == "to be deleted"
+    cluster.disconnect(client, "a")
+    assert cluster.write_through_client("a", KEY, None)
+    cluster.run(100.0)
+    assert [cluster.store(name).record(KEY) for name in "abc"] == [None] * 3, "the deletion was not forgotten"
+    cluster.restart("a")
+    cluster.connect("a", "b")
+    cluster.connect("a", "c")
+    cluster.run(5.0)
+    cluster.store(client).put("config/own", 1)
+    cluster.connect(client, "a")
+    cluster.run(1.0)
+    cluster.stop_client(client, "a")
+    assert cluster.converge(30.0, [("a", "b"), ("a", "c")])
+    assert values(cluster, "config/own") == [1] * 3
+    assert values(cluster) == [None] * 3
--- a/tests/support/replication_fleet.py
+++ b/tests/support/replication_fleet.py
@@ -172,10 +172,8 @@
 
     def write_through_client(self, name: str, key: str, value: object, seconds: float = 30.0) -> bool:
         """Write as an operator's command does; return whether the replica has acknowledged the write."""
-        self._client_count += 1
-        client = f"operator-{self._client_count}"
-        store = Store(client, wall_clock=self.wall, versions_follow_clock=True)
-        self.replicas[client] = Replica(store, random.Random(self.rng.random()), self.now)
+        client = self.start_client()
+        store = self.store(client)
         self.connect(client, name)
         session = self.connections[client, name].sessions[client]
         is_written = False
@@ -187,9 +185,21 @@
             if is_written and session.change_exchange.is_delivered:
                 break
             self.run(0.02)
+        self.stop_client(client, name)
+        return is_written and session.change_exchange.is_delivered
+
+    def start_client(self) -> str:
+        """Start an operator's client, which is no member; return its name."""
+        self._client_count += 1
+        client = f"operator-{self._client_count}"
+        store = Store(client, wall_clock=self.wall, versions_follow_clock=True)
+        self.replicas[client] = Replica(store, random.Random(self.rng.random()), self.now)
+        return client
+
+    def stop_client(self, client: str, name: str) -> None:
+        """Stop a client that was connected to the replica ``name``."""
         self.disconnect(client, name)
         del self.replicas[client]
-        return is_written and session.change_exchange.is_delivered
 
     def restart(self, name: str, wiped: bool = False) -> None:
         """Restart a replica with the records on its disk, or with none if it was wiped."""
