Serve commands at a restarted replica only once a peer takes its changes

What callers saw: none is known; found by asking what the acknowledgement of a replica that has just caught up promises. A write to it stayed in its memory alone until its peers followed it, and was gone if it died meanwhile.

Cause: a peer in sync follows a new replica only once that one is in sync, which it learns from heartbeats, 0.7 s apart. The replica served commands as soon as it held the peer's records.

Fix: it counts as caught up once a peer in sync also takes its changes; where no peer is in sync, once any of its peers does. The new test kills a replica in memory 0.2 s after the acknowledgement: the write is lost without this change and on all replicas with it.

--- a/sageturn/store/replication/catch_up.py
+++ b/sageturn/store/replication/catch_up.py
@@ -24,8 +24,9 @@
     """Monitor of one replica after its start, after the loss of its last link, and after a start over.
 
     The replica has caught up once it holds all that its peers had when they linked, and one of them is in
-    sync. If none is in sync, as in a new cluster, or none can be reached, it counts as caught up after
-    ``PEER_SEARCH_TIME_S``, as soon as it holds all that the peers had which it has reached.
+    sync and takes this replica's changes, so that a write is forwarded at once. If none is in sync, as in a
+    new cluster, or none can be reached, it counts as caught up after ``PEER_SEARCH_TIME_S``, as soon as it
+    holds all that the peers had which it has reached.
 
     Attributes:
         rejected_clients: The number of clients that were rejected meanwhile, since the start.
@@ -61,10 +62,12 @@
         """
         sessions = list(followed)
         has_all = all(session.is_caught_up for session in sessions)
-        if has_all and any(session.peer_recently_in_sync for session in sessions):
+        takers = [session for session in sessions if session.is_followed]
+        if has_all and any(session.peer_recently_in_sync for session in takers):
             self._search_ends_at = min(self._search_ends_at, now)
+        has_searched = now >= self._search_ends_at
         was_caught_up = self._is_caught_up
-        self._is_caught_up = not has_peers or (has_all and now >= self._search_ends_at)
+        self._is_caught_up = not has_peers or (has_all and has_searched and (not sessions or bool(takers)))
         if self._is_caught_up and not was_caught_up:
             self._log_caught_up(now, len(sessions))
         elif was_caught_up and not self._is_caught_up:
--- a/sageturn/store/replication/peer_session.py
+++ b/sageturn/store/replication/peer_session.py
@@ -37,6 +37,10 @@
     def is_caught_up(self) -> bool:
         """True if this side has all that the peer had when the session was established."""
 
+    @property
+    def is_followed(self) -> bool:
+        """True if the peer takes this side's changes."""
+
     @property
     def closing(self) -> SessionClosing:
         """Close reasons of both sides."""
--- a/sageturn/store/replication/session.py
+++ b/sageturn/store/replication/session.py
@@ -80,6 +80,11 @@
         hello = self._hellos.peer_hello
         return hello is not None and self.change_exchange.is_caught_up(hello)
 
+    @property
+    def is_followed(self) -> bool:
+        """True if the peer takes this side's changes."""
+        return self.change_exchange.sender is not None
+
     def take_sync_time(self) -> float | None:
         """Return Unix seconds of a time whose changes both sides now have; None if there is no new one."""
         return self.anti_entropy.take_sync_time()
--- a/tests/store/test_catch_up.py
+++ b/tests/store/test_catch_up.py
@@ -162,3 +162,15 @@
             pass
     assert member.state_report()["catching_up"] is True
     await member.stop()
+
+
+def test_a_write_that_a_restarted_replica_acknowledges_is_forwarded_at_once() -> None:
+    # Guards against acknowledgements in memory while no peer takes this replica's changes yet.
+    cluster = make_cluster_with_history()
+    cluster.restart("b", wiped=True)
+    cluster.connect("a", "b")
+    write_until_accepted(cluster, "b", KEY, "third")
+    cluster.run(0.2)
+    cluster.restart("b", wiped=True)
+    assert cluster.converge(60.0, [("a", "b"), ("a", "c")])
+    assert [cluster.store(name).get(KEY) for name in "abc"] == ["third"] * 3
