Measure restarts of a replica in a fleet that is in sync, and in a new one

The first form had all members in memory or all on disk, so that a restart in memory beside peers in sync, the usual case, was not measured.

--- a/sageturn/lab/measurements/restarted_replica.py
+++ b/sageturn/lab/measurements/restarted_replica.py
@@ -3,7 +3,8 @@
     python -m sageturn.lab.measurements.restarted_replica --accounts 0,800 --repeats 3
 
 Three member processes hold accounts; one is killed and started again. The time runs from its start until a
-command's write at it is acknowledged.
+command's write at it is acknowledged. The two others have disks and are in sync; in a new cluster of members
+in memory nobody is.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 import statistics
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 
@@ -22,7 +24,12 @@
 from sageturn.store.channel import read_secret
 from sageturn.store.replication.ephemeral_client import open_ephemeral_client
 
-MEMBERS = 3
+# Whether each member has a disk; the last one is restarted. Members with a disk are in sync from the start.
+FLEETS = {
+    "in_sync_restarted_in_memory": (True, True, False),
+    "in_sync_restarted_from_disk": (True, True, True),
+    "new_all_in_memory": (False, False, False),
+}
 FILL_TIMEOUT_S = 120.0
 POLL_INTERVAL_S = 0.2
 RETRY_INTERVAL_S = 0.02
@@ -32,8 +39,8 @@
 class _Measurement:
     """One fleet, in which the last member is restarted repeatedly."""
 
-    def __init__(self, folder: Path, has_disk: bool, account_count: int) -> None:
-        self._fleet = SoakFleet(folder, [has_disk] * MEMBERS)
+    def __init__(self, folder: Path, disks: Sequence[bool], account_count: int) -> None:
+        self._fleet = SoakFleet(folder, disks)
         self._secret = read_secret(self._fleet.secret_text)
         self._account_count = account_count
         self._restarted = self._fleet.members[-1]
@@ -97,14 +104,14 @@
     parser.add_argument("--repeats", type=int, default=3)
     options = parser.parse_args()
     for account_count in map(int, options.accounts.split(",")):
-        for has_disk in (False, True):
+        for name, disks in FLEETS.items():
             with tempfile.TemporaryDirectory(prefix="restarted-replica-") as folder:
-                measurement = _Measurement(Path(folder), has_disk, account_count)
+                measurement = _Measurement(Path(folder), disks, account_count)
                 times_s, resident_kib = uvloop.run(measurement.run(options.repeats))
             texts = " ".join(f"{seconds:.2f}" for seconds in times_s)
             print(
-                f"accounts={account_count} store={'disk' if has_disk else 'memory'} "
-                f"median_s={statistics.median(times_s):.2f} each_s={texts} resident_kib={resident_kib}",
+                f"accounts={account_count} fleet={name} median_s={statistics.median(times_s):.2f}"
+                f" each_s={texts} resident_kib={resident_kib}",
                 flush=True,
             )
 
