--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -30,6 +30,7 @@
 from sageturn.store.replication.replicated_records import ReplicatedRecords
 from sageturn.store.replication.session import ReplicationSession
 from sageturn.store.replication.session_table import SessionTable
+from sageturn.store.replication.start_over import StartOver
 from sageturn.store.replication.sync_status import SyncStatus
 from sageturn.store.replication.topology import Topology, TopologyFactory
 from sageturn.store.replication.topology_links import TopologyLinks
@@ -92,6 +93,7 @@
         self.location = location
         self.budget = ByteBudget(max_bytes_per_s, now)
         self.sync_status = SyncStatus(store, horizon_s)
+        self._starting_over = StartOver(store, self.sync_status)
         self.records = ReplicatedRecords(store, horizon_s, self)
         self.zones = ZoneLiveness(None if location is None else location.zone_label)
         self.catch_up = CatchUpMonitor(store.node, now)
@@ -161,25 +163,7 @@
         self._is_announced = True
 
     def _start_over(self, now: float) -> None:
-        """Remove what may be deleted elsewhere, after being out of sync for longer than tombstones are kept.
-
-        A member that was removed and added again drops it. Any other withholds it until it has fetched the
-        records and the tombstone floor of a replica that is in sync (``_release_quarantine``).
-        """
-        store = self.store
-        dropped = withheld = 0
-        if store.replica_state.was_removed:
-            dropped = store.drop_replicated_records()
-        else:
-            withheld = store.quarantine_records(self.sync_status.deletable_before)
-        log.warning(
-            "replica starts over node=%s reason=out_of_sync_beyond_horizon"
-            " dropped_records=%d withheld_records=%d",
-            store.node,
-            dropped,
-            withheld,
-        )
-        self.sync_status.on_started_over()
+        self._starting_over.remove_unverified_records()
         self.catch_up.restart(now)
         self._session_table.close_all("starting over", CloseCode.LATER)
         self._begin_incarnation()
@@ -199,23 +183,10 @@
     def on_member_removed(self, node: str) -> None:
         """Handle the removal of a member, this one included, by an operator."""
         if node == self.store.node:
-            self._on_own_removal("config")
+            self._starting_over.on_own_removal("config")
         else:
             self._session_table.close_with(node, f"{node} was removed", CloseCode.REMOVED)
 
-    def _release_quarantine(self) -> None:
-        """Restore the withheld records that nobody can have deleted, once this replica is in sync again."""
-        store = self.store
-        if store.quarantined_records and self.sync_status.recently_in_sync:
-            dropped = store.release_quarantine()
-            log.warning("withheld records released node=%s dropped_records=%d", store.node, dropped)
-
-    def _on_own_removal(self, source: str) -> None:
-        """Clear the time of the last sync, so that this member starts over if it is added again."""
-        if not self.store.replica_state.was_removed:
-            log.warning("member removed node=%s source=%s", self.store.node, source)
-            self.store.mark_removed()
-
     # ------------------------------------------------------------ sessions
 
     def on_output_pending(self) -> None:
@@ -256,7 +227,7 @@
             if self.sync_status.holds_replicated_records and not self.sync_status.recently_in_sync:
                 self._start_over(now)
         elif close_code == CloseCode.REMOVED:
-            self._on_own_removal("peer")
+            self._starting_over.on_own_removal("peer")
 
     def admit(self, session: PeerSession, hello: Hello, claims_sync: bool, now: float) -> None:
         """Check whether a peer's hello allows a session, and start over if this side has to.
@@ -346,7 +317,7 @@
         if session.peer_recently_in_sync and self.sync_status.on_in_sync(in_sync_at):
             # Records that peers which are not in sync still offer may have been deleted in the meantime.
             self._session_table.close_unsynced("in step now: greet again")
-        self._release_quarantine()
+        self._starting_over.release_withheld_records()
 
     # ------------------------------------------------------------ time
 
@@ -360,7 +331,7 @@
             self._maintenance_at = now + MAINTENANCE_INTERVAL_S
             self._has_caught_up(now)
             self.sync_status.update_settling(now, self._session_table.may_settle())
-            self._release_quarantine()
+            self._starting_over.release_withheld_records()
             self._discard_tombstones(now)
         if self._links is None:
             return TickResult((), self._maintenance_at)
