Count a replica as in sync only once dropped records have left its log

What callers saw: none is known; found by reading the start over once more. Where a disk was full as a replica dropped records, they stayed in its log, while its state file said a little later that it is in sync. A restart of a replica in sync takes all that its log holds for valid: records that were deleted elsewhere, and whose deletion was forgotten, came back. A kill between the two writes had the same effect.

Cause: the log's compaction after a drop was only tried, and nothing waited for it; the mark of a removed member was cleared at once as well.

Fix: Store.set_last_in_sync first releases the withheld records and rewrites a log that still holds dropped ones, and raises where it cannot; the replica then tries again. A removed member keeps its mark until it is in sync.

--- a/sageturn/store/replication/replica.py
+++ b/sageturn/store/replication/replica.py
@@ -317,7 +317,6 @@
         if session.peer_recently_in_sync and self.sync_status.on_in_sync(in_sync_at):
             # Records that peers which are not in sync still offer may have been deleted in the meantime.
             self._session_table.close_unsynced("in step now: greet again")
-        self._starting_over.release_withheld_records()
 
     # ------------------------------------------------------------ time
 
@@ -331,7 +330,6 @@
             self._maintenance_at = now + MAINTENANCE_INTERVAL_S
             self._has_caught_up(now)
             self.sync_status.update_settling(now, self._session_table.may_settle())
-            self._starting_over.release_withheld_records()
             self._discard_tombstones(now)
         if self._links is None:
             return TickResult((), self._maintenance_at)
--- a/sageturn/store/replication/start_over.py
+++ b/sageturn/store/replication/start_over.py
@@ -1,6 +1,6 @@
 """Starting over: a replica that was out of sync for long removes what the others may have deleted. No I/O.
 
-``sync_status`` decides when that is due. What is removed, withheld and restored is up to the store.
+``sync_status`` decides when that is due. The store releases what it withholds once it is in sync again.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 
 
 class StartOver:
-    """The steps of starting over, from the removal of records to the release of those withheld."""
+    """Removal of the records that may be deleted elsewhere, also after an operator has removed the member."""
 
     def __init__(self, store: Store, sync_status: SyncStatus) -> None:
         self._store = store
@@ -23,8 +23,8 @@
     def remove_unverified_records(self) -> None:
         """Remove from the store what may be deleted elsewhere.
 
-        A member that was removed and added again drops it. Any other withholds it until it has fetched the
-        records and the tombstone floor of a replica that is in sync.
+        A member that was removed and added again drops it. Any other withholds it until it is in sync, and so
+        has the records and the tombstone floor of a replica that is.
 
         Raises:
             OSError: The disk accepts no write now; no record was removed.
@@ -44,17 +44,6 @@
         )
         self._sync_status.on_started_over()
 
-    def release_withheld_records(self) -> None:
-        """Restore the withheld records that nobody can have deleted, once this replica is in sync again.
-
-        Raises:
-            OSError: The disk accepts no write now; the records are still withheld.
-        """
-        store = self._store
-        if store.quarantined_records and self._sync_status.recently_in_sync:
-            dropped = store.release_quarantine()
-            log.warning("withheld records released node=%s dropped_records=%d", store.node, dropped)
-
     def on_own_removal(self, source: str) -> None:
         """Handle the removal of this member by an operator; ``source`` says how it learned of that."""
         if not self._store.replica_state.was_removed:
--- a/sageturn/store/replication/sync_status.py
+++ b/sageturn/store/replication/sync_status.py
@@ -58,6 +58,9 @@
 
         Returns:
             True if that completes the initial sync of a replica that was empty or has started over.
+
+        Raises:
+            OSError: Withheld records cannot be released now; it does not count as in sync.
         """
         was_in_sync = self.recently_in_sync
         last_in_sync = self._store.replica_state.last_in_sync or 0.0
@@ -76,7 +79,7 @@
 
         This serves a new cluster, or one that was shut down as a whole for long: no replica is in sync, so
         none can be copied from.
-        ``now`` is monotonic seconds.
+        ``now`` is monotonic seconds. Raises OSError as ``on_in_sync`` does.
         """
         if self.recently_in_sync or not may_settle:
             self._settling_since = None
--- a/sageturn/store/store.py
+++ b/sageturn/store/store.py
@@ -69,6 +69,7 @@
         self.on_discarded: list[Callable[[list[str]], None]] = []
         self._records: dict[str, StoreRecord] = {}
         self._quarantine = Quarantine()
+        self._has_dropped_records_in_log = False
         self._log = None if path is None else CompactingLog(path, min_compaction_bytes)
         self.replica_state_file = ReplicaStateFile(path)
         if self._log is not None:
@@ -184,14 +185,17 @@
             # on disk first.
             self.replica_state_file.flush()
             self._log.compact([*self._records.values(), *self._quarantine])
+            self._has_dropped_records_in_log = False
 
-    def _try_to_compact(self, record_log: CompactingLog) -> None:
-        """Compact the log; on failure the log is still intact, and the compaction is retried later."""
+    def _try_to_compact(self, record_log: CompactingLog) -> bool:
+        """Compact the log. Return whether that succeeded; otherwise the log is intact, and it is retried."""
         try:
             self.compact()
         except OSError as error:
             log.warning("log compaction failed path=%s reason=%s", record_log.path, error)
             record_log.postpone_compaction()
+            return False
+        return True
 
     # ------------------------------------------------------------ discarding
 
@@ -211,7 +215,7 @@
 
         Records stay that are this node's own states, that were written after it was last in sync, or that
         were written at or after ``deletable_before``, Unix seconds: others still hold the deletions of these.
-        The log keeps all records until ``release_quarantine``, so that a restart in the meantime loses none.
+        The log keeps all records until this replica is in sync, so that a restart in the meantime loses none.
         It is also copied for operators to a file with the suffix ``.dropped-`` and the Unix time.
 
         Returns:
@@ -233,17 +237,13 @@
 
     @property
     def quarantined_records(self) -> list[StoreRecord]:
-        """The records that are withheld until ``release_quarantine``."""
+        """The records that are withheld until this replica is in sync."""
         return list(self._quarantine)
 
-    def release_quarantine(self) -> int:
-        """Restore the withheld records that nobody can have deleted, and drop the others.
+    def _release_quarantine(self) -> None:
+        """Restore the withheld records that nobody can have deleted, and drop the others, also from the log.
 
-        The caller has made sure that this store holds all records and the tombstone floor of a replica that
-        is in sync.
-
-        Returns:
-            The number of records that were dropped.
+        The store holds all records and the tombstone floor of a replica that is in sync.
 
         Raises:
             OSError: The log or the replica's state cannot be written; the records are still withheld.
@@ -255,10 +255,10 @@
         dropped = [record for record in self._quarantine if record.key not in restored_keys]
         floor = max([state.tombstone_floor, *(record.version for record in dropped)])
         self.replica_state_file.write(replace(state, tombstone_floor=floor))
-        self._quarantine.clear()
         if self._log is not None and dropped:
-            self._try_to_compact(self._log)
-        return len(dropped)
+            self._log.compact(self._records.values())
+        self._quarantine.clear()
+        log.warning("withheld records released node=%s dropped_records=%d", self.node, len(dropped))
 
     def drop_replicated_records(self) -> int:
         """Drop the records of a member that an operator removed, which is added again.
@@ -276,11 +276,12 @@
         self._back_up_log()
         dropped_versions = [self._records[key].version for key in dropped]
         floor = max([self.replica_state.tombstone_floor, *dropped_versions])
-        self.replica_state_file.write(ReplicaState(None, floor))
+        was_removed = self.replica_state.was_removed
+        self.replica_state_file.write(ReplicaState(None, floor, was_removed=was_removed))
         self._remove(dropped)
         if self._log is not None:
             # If the compaction fails, the next restart drops the same records again.
-            self._try_to_compact(self._log)
+            self._has_dropped_records_in_log = not self._try_to_compact(self._log)
         return len(dropped)
 
     def _survives_drop(self, record: StoreRecord) -> bool:
@@ -311,7 +312,19 @@
         return self.replica_state_file.state
 
     def set_last_in_sync(self, at: float | None) -> None:
-        """Set the Unix time at which this replica was last in sync; None if unknown."""
+        """Set the Unix time at which this replica was last in sync; None if unknown.
+
+        Before it counts as in sync, withheld records are released, and the log holds none that were dropped:
+        a restart of a replica in sync takes all that it finds in its log for valid.
+
+        Raises:
+            OSError: There are such records, and the log or the replica's state cannot be written now.
+        """
+        if at is not None:
+            if len(self._quarantine):
+                self._release_quarantine()
+            if self._has_dropped_records_in_log:
+                self.compact()
         self.replica_state_file.set_last_in_sync(at)
 
     def mark_removed(self) -> None:
--- a/tests/store/test_start_over.py
+++ b/tests/store/test_start_over.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import errno
 import json
+import os
+from collections.abc import Iterable
 from pathlib import Path
 
 import pytest
 from support.replication_fleet import SimulatedCluster, make_synced_cluster
 
+from sageturn.store.log import RecordLog
 from sageturn.store.records import StoreRecord
 from sageturn.store.replica_state import ReplicaState, read_replica_state
 from sageturn.store.replication.sync_status import SETTLING_TIME_S
@@ -147,7 +151,8 @@
     assert (store.get("config/old"), store.get("config/x")) == ("kept", 2)
     assert store.quarantine_records(deletable_before=900.0) == 1
     store.raise_tombstone_floor(2)
-    assert store.release_quarantine() == 0 and not store.quarantined_records
+    store.set_last_in_sync(1000.0)
+    assert not store.quarantined_records
     store.close()
     store = Store("n1", path)
     assert (store.get("config/old"), store.get("config/x")) == ("kept", 2)
@@ -162,7 +167,7 @@
     )
     assert store.quarantine_records(deletable_before=900.0) == 1
     store.raise_tombstone_floor(3)
-    assert store.release_quarantine() == 1
+    store.set_last_in_sync(1000.0)
     assert store.keys() == ["config/new"] and store.put("config/old", 2).version == 4
     store.close()
     assert b'"config/old", "value": 1' not in path.read_bytes()
@@ -186,3 +191,42 @@
     reopened = Store("n1", tmp_path / "log")
     assert reopened.replica_state == ReplicaState(None, 7, was_removed=True)
     reopened.close()
+
+
+@pytest.mark.parametrize("was_removed", [False, True])
+def test_a_replica_counts_as_in_sync_only_once_dropped_records_have_left_its_log(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, was_removed: bool
+) -> None:
+    # Guards against deleted records that a restart takes for valid, as the log could not be rewritten.
+    path = tmp_path / "log"
+    store = Store("n1", path, wall_clock=lambda: 1000.0)
+    if was_removed:
+        store.mark_removed()
+    store.merge([StoreRecord("config/gone", 1, 1, CLIENT, 500_000)])
+    with monkeypatch.context() as patched:
+        patched.setattr(RecordLog, "rewrite", fail_to_rewrite)
+        if was_removed:
+            assert store.drop_replicated_records() == 1
+        else:
+            assert store.quarantine_records(deletable_before=900.0) == 1
+        store.raise_tombstone_floor(1)
+        with pytest.raises(OSError, match="No space"):
+            store.set_last_in_sync(1000.0)
+        assert store.replica_state.last_in_sync is None
+    store.close()
+    store = Store("n1", path, wall_clock=lambda: 1000.0)
+    assert store.replica_state == ReplicaState(None, 1, was_removed=was_removed)
+    assert store.get("config/gone") == 1, "it is not in sync, and starts over again"
+    if was_removed:
+        assert store.drop_replicated_records() == 1
+    else:
+        assert store.quarantine_records(deletable_before=900.0) == 1
+    store.set_last_in_sync(1000.0)
+    store.close()
+    store = Store("n1", path)
+    assert store.get("config/gone") is None and store.replica_state == ReplicaState(1000.0, 1)
+    store.close()
+
+
+def fail_to_rewrite(record_log: RecordLog, records: Iterable[StoreRecord]) -> None:
+    raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
