--- a/sageturn/lab/store_soak/soak.py
+++ b/sageturn/lab/store_soak/soak.py
@@ -203,11 +203,11 @@
         self._run_later(delay_s, partial(self._fleet.start, member))
 
     def _run_later(self, delay_s: float, action: Callable[[], Awaitable[None]]) -> None:
-        async def run() -> None:
+        async def _act_after_delay() -> None:
             await asyncio.sleep(delay_s)
             await action()
 
-        task = asyncio.ensure_future(run())
+        task = asyncio.ensure_future(_act_after_delay())
         self._pending.add(task)
         task.add_done_callback(self._pending.discard)
 
