Keep the newest version of a record that is withheld twice

What callers saw: none is known; found by reading the change once more. A replica that starts over a second time, before it was in sync and without a restart in between, withheld the older version of a key that a peer had sent it meanwhile in place of the newer write that it had withheld first. The newer write was gone at the release.

Cause: Quarantine.add replaced what it held without comparing the versions.

Fix: a record replaces a withheld one only if it supersedes it.

--- a/sageturn/store/quarantine.py
+++ b/sageturn/store/quarantine.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from sageturn.store.records import StoreRecord
+from sageturn.store.records import StoreRecord, supersedes
 
 
 class Quarantine:
@@ -27,9 +27,10 @@
         return self._records.get(key)
 
     def add(self, records: Iterable[StoreRecord]) -> None:
-        """Withhold records that were removed from the store."""
+        """Withhold records that were removed from the store, unless a newer version is withheld already."""
         for record in records:
-            self._records[record.key] = record
+            if supersedes(record, self._records.get(record.key)):
+                self._records[record.key] = record
 
     def restorable(self, tombstone_floor: int) -> list[StoreRecord]:
         """Return the records that no replica can have deleted without this replica knowing.
--- a/tests/store/test_start_over.py
+++ b/tests/store/test_start_over.py
@@ -230,3 +230,14 @@
 
 def fail_to_rewrite(record_log: RecordLog, records: Iterable[StoreRecord]) -> None:
     raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def test_a_second_start_over_does_not_replace_a_withheld_record_by_an_older_one() -> None:
+    # Guards against losing a withheld write to the version that a peer had sent before the second start over.
+    store = Store("n1", wall_clock=lambda: 1000.0)
+    store.merge([StoreRecord("config/x", "newer", 5, CLIENT, 500_000)])
+    assert store.quarantine_records(deletable_before=900.0) == 1
+    store.merge([StoreRecord("config/x", "older", 2, "n2", 400_000)])
+    assert store.quarantine_records(deletable_before=900.0) == 1
+    store.set_last_in_sync(1000.0)
+    assert store.get("config/x") == "newer"
