Close the writers that tests left open, which broke the documentation test on arm64

Cause: two tests left StreamWriters open on an event loop that was closed afterwards: a waiting client in tests/relay/test_supervision.py, and discovery's side of a watch in tests/net/test_endpoint_list.py. The garbage collection that found them could run while test_documentation parses the program. Their __del__ raised "Event loop is closed" there, and CPython 3.11.6 then counted the depth of the tree wrongly (SystemError: AST constructor recursion depth mismatch).

Change: both are closed, and FakeDiscovery closes its writer in a finally, as a cancelled watch left it open too. No assertion, bound or check is changed, and nothing depends on the kind of machine. No part of the program was seen to leave anything open.

--- a/tests/net/test_endpoint_list.py
+++ b/tests/net/test_endpoint_list.py
@@ -134,12 +134,14 @@
 @pytest.mark.parametrize("half", [b'{"version":7,\n', b'{"version":7,"servers":[{"id":"a{'])
 async def test_incomplete_object_is_no_sign_of_life(half: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
     async def serve_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(chunked_response(b'{"version":6,"servers":[]}\n', half))
-        while not reader.at_eof():
-            writer.write(b"1\r\n\n\r\n")
-            await asyncio.sleep(0.02)
-        writer.close()
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(chunked_response(b'{"version":6,"servers":[]}\n', half))
+            while not reader.at_eof():
+                writer.write(b"1\r\n\n\r\n")
+                await asyncio.sleep(0.02)
+        finally:  # also if the test ends first, which cancels this
+            writer.close()
 
     monkeypatch.setattr(FakeDiscovery, "serve", lambda self, reader, writer: serve_slowly(reader, writer))
     update, failed = await collect_watch_events(b"", count=2, monkeypatch=monkeypatch, timeout_s=0.3)
--- a/tests/relay/test_supervision.py
+++ b/tests/relay/test_supervision.py
@@ -135,7 +135,7 @@
         await until(lambda: relay.endpoint_registry.version == 2)
         reader, writer = await send_request(relay.listener.address, encode_request_line())
         assert await reader.readline() == b"UP r1\r\n"
-        waiting, _ = await send_request(relay.listener.address, encode_request_line(key="waits"))
+        waiting, waiting_writer = await send_request(relay.listener.address, encode_request_line(key="waits"))
         await until(lambda: len(endpoint.request_lines) == 2)
         if is_stopping:
             signal.raise_signal(signal.SIGTERM)
@@ -146,5 +146,6 @@
         assert await reader.read() == b"MOVE\r\n"
         assert asyncio.get_running_loop().time() - began_s < relay.request_registry.schedule.migration_start_s
         writer.close()
+        waiting_writer.close()
         with pytest.raises(ValueError, match="an actor failed"):
             await running
--- a/tests/support/network_fakes.py
+++ b/tests/support/network_fakes.py
@@ -145,13 +145,15 @@
         self.address = ("127.0.0.1", 0)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        request = await reader.readuntil(b"\r\n\r\n")
-        self.requests.append(WatchRequest(time.monotonic(), request.split(b"\r\n")[0]))
-        response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
-        writer.write(response)
-        if b"chunked" in response and not response.endswith(b"#"):
-            await reader.read()
-        writer.close()
+        try:
+            request = await reader.readuntil(b"\r\n\r\n")
+            self.requests.append(WatchRequest(time.monotonic(), request.split(b"\r\n")[0]))
+            response = self.responses.pop(0) if len(self.responses) > 1 else self.responses[0]
+            writer.write(response)
+            if b"chunked" in response and not response.endswith(b"#"):
+                await reader.read()
+        finally:  # also if the test ends first, which cancels this
+            writer.close()
 
 
 def encode_watch_response(*objects: JsonObject) -> bytes:
