--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,120 +1,91 @@
-"""Bad clients of XMPP that send hundreds of commands at once: does the relay stay within its memory?"""
+"""One of three copies in memory dies after it has acknowledged writes: does any copy still hold them?"""
 
 from __future__ import annotations
 
 import asyncio
-import collections
-import contextlib
+import hashlib
+import logging
+import signal
 from pathlib import Path
 
 import kit
-import xmpp
+from sageturn.store.channel import read_secret
+from sageturn.store.replication.ephemeral_client import open_ephemeral_client
 
-MEMORY_MB = 192  # the page: at most 192 MB and 1,024 descriptors
-SOCKETS = 1024
-BAD_CLIENTS = 150
-COMMANDS = 200  # of each, at once
-STANZA_BYTES = 60_000
-HOSTS = 12
-SETUP_S = 0.3
-OBSERVED_S = 8.0
-SAMPLE_S = 0.02
+NODES = ("n1", "n2", "n3")
+ACCOUNTS = 2000
+ALIVE_S = 2.0  # from the acknowledgement to the death of the copy
+SETTLED_S = 20.0  # from the return of the copy to the reading
 
 
-def memory_mb(process_id: int) -> float:
-    """Return the anonymous memory of a process: a lower bound of what the platform counts."""
-    for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) / 1024.0
-    raise kit.CannotRunError("the system does not tell the memory of a process")
-
-
-async def serve(session: xmpp.ServerSession) -> None:
-    resource = await session.accept()
-    await asyncio.sleep(SETUP_S)
-    session.bound(resource)
-    await session.echo()
+def account(number: int) -> dict:
+    """Return a record of the form that ``sageturn store account`` writes."""
+    digests = [hashlib.sha256(f"{number}/{part}".encode()).hexdigest() for part in range(3)]
+    return {
+        "class": "c",
+        "tenant": "t",
+        "group": "",
+        "salt": digests[0][:32],
+        "stored_key": digests[1],
+        "server_key": digests[2],
+        "iterations": 16384,
+    }
 
 
 async def main(folder: Path, record: kit.Record) -> list[str]:
-    servers = [xmpp.Server(f"s{number}", serve) for number in range(HOSTS)]
-    for server in servers:
-        await server.start()
-    discovery = kit.Discovery([kit.entry(server.name, server.address) for server in servers])
+    logging.disable(logging.CRITICAL)
+    host = await asyncio.start_server(lambda _reader, writer: writer.close(), kit.LOOPBACK, 0)
+    discovery = kit.Discovery([kit.entry("a", host.sockets[0].getsockname()[:2])])
     await discovery.start()
-    address = (kit.LOOPBACK, kit.free_port())
-    xmpp.write_store(folder / "store.log", {"lan": "c"})
-    (folder / "password").write_text("relay-pw\n")
-    operator = {
-        "store": {"path": "store.log"},
-        "xmpp": {
-            "listen": f"{address[0]}:{address[1]}",
-            "domain": xmpp.DOMAIN,
-            "wait_ms": 3000,
-            "endpoint": {"username": "relay", "password_file": "password", "tls": False},
-        },
-    }
-    config = kit.relay_config("n1", discovery, kit.settings([kit.request_class("c")]))
-    config["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
-    relay = kit.Relay(folder, "n1", config, operator)
-    answers: collections.Counter[str] = collections.Counter()
-    clients: list[xmpp.Client] = []
-    tasks: list[asyncio.Future[None]] = []
-    head, tail = f"<message id='m' to='desk@{xmpp.DOMAIN}'><body>", "</body></message>"
-    command = (head + "x" * (STANZA_BYTES - len(head) - len(tail)) + tail).encode()
-    logged_in = asyncio.Barrier(BAD_CLIENTS)
-
-    async def send_commands(client: xmpp.Client) -> None:
-        with contextlib.suppress(OSError):
-            for _ in range(COMMANDS):
-                client.writer.write(command)
-                await client.writer.drain()
+    (folder / "secret").write_text("the secret of the copies\n")
+    secret = read_secret("the secret of the copies")
+    ports = {node: kit.free_port() for node in NODES}
+    relays = {}
+    for node in NODES:
+        store = {
+            "listen": f"{kit.LOOPBACK}:{ports[node]}",
+            "peers": [f"{kit.LOOPBACK}:{port}" for other, port in ports.items() if other != node],
+            "secret_file": "secret",
+        }
+        settings = kit.settings([kit.request_class("c")], groupSize=len(NODES))
+        relays[node] = kit.Relay(folder, node, kit.relay_config(node, discovery, settings), {"store": store})
+    expected = {f"config/accounts/guide{number}": account(number) for number in range(ACCOUNTS)}
 
-    async def come(number: int) -> None:
-        client = await xmpp.Client.connect(address)
-        clients.append(client)
-        await client.login("lan")
-        await asyncio.wait_for(logged_in.wait(), 5)
-        client.send_bind(f"desk{number}")
-        sending = asyncio.ensure_future(send_commands(client)) if kit.TROUBLE else None
-        try:
-            found = await client.read_until("<jid>[^<]*</jid>|<stream:error><(?P<condition>[a-z-]+)")
-            answers[found["condition"] or "up"] += 1
-        except OSError:
-            answers["the connection broke"] += 1
-        if sending is not None:
-            sending.cancel()
+    async def count(node: str) -> int:
+        """Return how many of the accounts a copy holds, as it tells a client."""
+        async with open_ephemeral_client((kit.LOOPBACK, ports[node]), secret, 15.0) as copy:
+            return sum(copy.get(key) == value for key, value in expected.items())
 
     try:
-        await relay.start()
-        await relay.wait_ready()
-        assert relay.process is not None
-        process_id = relay.process.pid
-        started_mb = peak_mb = memory_mb(process_id)
-        record(f"the relay is ready with {started_mb:.1f} MB")
-        tasks = [asyncio.ensure_future(come(number)) for number in range(BAD_CLIENTS)]
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + OBSERVED_S
-        while loop.time() < end_s:
-            await asyncio.sleep(SAMPLE_S)
-            if relay.process.returncode is not None:
-                raise kit.CannotRunError(f"the relay has ended: {relay.log_tail()}")
-            now_mb = memory_mb(process_id)
-            if now_mb > MEMORY_MB >= peak_mb:
-                record(f"over {MEMORY_MB} MB: the platform kills the relay here")
-            peak_mb = max(peak_mb, now_mb)
-        record(f"answers {dict(answers)}; peak {peak_mb:.1f} MB, {memory_mb(process_id):.1f} MB at the end")
-        if sum(answers.values()) < BAD_CLIENTS / 2:
-            raise kit.CannotRunError(f"only {sum(answers.values())} clients were answered")
+        for relay in relays.values():
+            await relay.start()
+        for relay in relays.values():
+            await relay.wait_ready()
+        for node in NODES:
+            record(f"{node} serves commands, and has {await count(node)} of the accounts")
+        async with open_ephemeral_client((kit.LOOPBACK, ports["n2"]), secret, 15.0) as copy:
+            for key, value in expected.items():
+                copy.put(key, value)
+        record(f"n2 has acknowledged {ACCOUNTS} accounts")
+        await asyncio.sleep(ALIVE_S)
+        if kit.TROUBLE:
+            dying = relays["n2"]
+            dying.signal(signal.SIGKILL)
+            assert dying.process is not None
+            await dying.process.wait()
+            record("n2 was killed")
+            await dying.start()
+            await dying.wait_ready()
+            record("n2 is back")
+        await asyncio.sleep(SETTLED_S)
+        held = {node: await count(node) for node in NODES}
     finally:
-        for task in tasks:
-            task.cancel()
-        for client in clients:
-            client.abort()
-        await relay.end()
-    if peak_mb > MEMORY_MB:
-        return [f"the relay had {peak_mb:.0f} MB of {MEMORY_MB} MB with {BAD_CLIENTS} bad clients: it is killed"]
-    return []
+        for relay in relays.values():
+            await relay.end()
+    record(f"accounts that each copy holds: {held}")
+    if min(held.values()) == ACCOUNTS:
+        return []
+    return [f"of {ACCOUNTS} acknowledged accounts the copies hold {held}"]
 
 
 kit.run_case(main)
