--- a/review/7/case.py
+++ b/review/7/case.py
@@ -88,4 +88,4 @@
     return [f"of {ACCOUNTS} acknowledged accounts the copies hold {held}"]
 
 
-kit.run_case(main)
+kit.run_case(main, Path(__file__).with_name("record.txt"))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -92,6 +92,8 @@
         process_id = relay.process.pid
         started_mb = peak_mb = memory_mb(process_id)
         record(f"the relay is ready with {started_mb:.1f} MB")
+        sent = f", and {COMMANDS} messages of {STANZA_BYTES} bytes at once" if kit.TROUBLE else ""
+        record(f"{BAD_CLIENTS} clients log in; each sends its bind{sent}")
         tasks = [asyncio.ensure_future(come(number)) for number in range(BAD_CLIENTS)]
         loop = asyncio.get_running_loop()
         end_s = loop.time() + OBSERVED_S
@@ -117,4 +119,4 @@
     return []
 
 
-kit.run_case(main)
+kit.run_case(main, Path(__file__).with_name("record.txt"))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -224,7 +224,7 @@
     return lines.held
 
 
-if sys.argv[1] == "xmpp-side":
+if sys.argv[1:2] == ["xmpp-side"]:
     asyncio.run(xmpp_process())
 else:
-    kit.run_case(main)
+    kit.run_case(main, Path(__file__).with_name("record.txt"))
--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -27,14 +27,17 @@
 
 
 class Record:
-    """Writer of ``record.txt`` in the folder of the case: what was sent, answered and run, with the time."""
+    """Writer of a case's ``record.txt``: what was sent, answered and run, with the time."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8", buffering=1)
+    def __init__(self, file: Path) -> None:
+        self._file = file.open("w", encoding="utf-8", buffering=1)
         self._started_s = time.monotonic()
+        self.hidden = [str(ROOT)]  # folders that are left out
 
     def __call__(self, text: str) -> None:
-        self._file.write(f"{time.monotonic() - self._started_s:8.3f} {text}\n")
+        for folder in self.hidden:
+            text = text.replace(folder, "")
+        self._file.write(f"{time.monotonic() - self._started_s:8.3f} {text[:400]}\n")
 
 
 def free_port(host: str = LOOPBACK) -> int:
@@ -251,11 +254,14 @@
     }
 
 
-def run_case(main, timeout_s: float = 112.0) -> None:
-    """Run ``main(folder, record)``; exit with 1 if it returns the broken rule, 0 if it held, 2 if not run."""
-    case = Path(sys.argv[1]).resolve()
-    record = Record(case)
+def run_case(main, record_file: Path, timeout_s: float = 112.0) -> None:
+    """Run ``main(folder, record)``, which records in ``record_file``.
+
+    Exit with 1 if it returns the broken rule, 0 if it held, 2 if it could not run.
+    """
+    record = Record(record_file)
     scratch = Path(tempfile.mkdtemp(prefix="review-"))
+    record.hidden.append(str(scratch))
     keep = os.environ.get("KEEP_SCRATCH")
     record(f"trouble={'on' if TROUBLE else 'off'}")
 
@@ -281,11 +287,9 @@
             print("held")
         code = BROKEN if faults else HELD
     finally:
-        for log in sorted(scratch.glob("*.log")):
-            lines = log.read_text(errors="replace").splitlines()
-            record(f"--- last lines of {log.name}")
-            for line in lines[-25:]:
-                record(f"log {line}")
+        for log in sorted(scratch.glob("n*.log")):
+            for line in log.read_text(errors="replace").splitlines()[-10:]:
+                record(f"log of {log.stem}: {line}")
         if keep:
             print(scratch)
         else:
