Take only the bind's own answer as proof that an endpoint did not run it

Cause: EndpointLogin._read_stanza mapped system-shutdown, see-other-host and resource-constraint to CloseReason.BUSY, the proof that a request was never executed, at every step of the login, the answer to the bind included. A stream error concerns the stream (RFC 6120, 4.9), and says no more about a written bind than a connection that ends.

Change: after the bind is written a stream error is mapped as on an established session. The proof is the error stanza with the bind's own id; a message with an error, or the answer to another request, was one too, and a result with another id counted as success: both are GARBLED now. docs/design/endings.md lists for each end of an attempt on both wires what proves that it never ran; the lines needed no change.

Cost: two comparisons for each bind; no figure was taken.

--- a/sageturn/frontends/xmpp/endpoint_login.py
+++ b/sageturn/frontends/xmpp/endpoint_login.py
@@ -15,6 +15,7 @@
 from sageturn.frontends.xmpp.channel import TlsChannel
 from sageturn.frontends.xmpp.client_login import BindRequest
 from sageturn.frontends.xmpp.errors import (
+    CLOSE_REASONS_AFTER_BIND,
     CLOSE_REASONS_BEFORE_BIND,
     EndpointLoginRejectedError,
     StreamError,
@@ -27,6 +28,10 @@
 
 MAX_SCRAM_ITERATIONS = 65536  # the hash blocks the event loop, for about 20 ms at this count
 
+BIND_ID = "bind"  # id of the relay's bind request, which the endpoint's answer repeats
+
+# Conditions of an error stanza by which an endpoint refuses a bind (RFC 6120, 7.7.2 and 8.3.3). Once the bind
+# is written, such an answer to it is the only proof that it was not executed.
 _CLOSE_REASONS_BY_STANZA_ERROR = {
     "resource-constraint": CloseReason.BUSY,
     "service-unavailable": CloseReason.BUSY,
@@ -84,11 +89,14 @@
             raise EndpointLoginRejectedError(close_reason)
         return await self._bind(resource)
 
-    async def _read_stanza(self) -> Element:
+    async def _read_stanza(
+        self, close_reasons: dict[str, CloseReason] = CLOSE_REASONS_BEFORE_BIND
+    ) -> Element:
+        """Return the next stanza; ``close_reasons`` maps the condition of a stream error in its place."""
         element = (await self._session.expect_stanza()).element
         if element.tag == f"{{{STREAMS_NS}}}error":
             condition = stream_error_condition(element)
-            raise EndpointLoginRejectedError(CLOSE_REASONS_BEFORE_BIND.get(condition, CloseReason.ERROR))
+            raise EndpointLoginRejectedError(close_reasons.get(condition, CloseReason.ERROR))
         return element
 
     async def _exchange_headers(self) -> Element:
@@ -159,15 +167,28 @@
             raise EndpointLoginRejectedError(CloseReason.GARBLED) from error
 
     async def _bind(self, resource: str) -> str:
+        """Bind ``resource``; return its JID.
+
+        Only an error stanza that answers this bind proves that it was not executed.
+        """
         bind = f"<bind xmlns='{BIND_NS}'><resource>{escape(resource)}</resource></bind>"
-        await self._session.send(f"<iq type='set' id='bind'>{bind}</iq>".encode())
-        element = await self._read_stanza()
-        jid = element.findtext(f"{{{BIND_NS}}}bind/{{{BIND_NS}}}jid")
-        if element.get("type") == IqType.RESULT and jid:
+        await self._session.send(f"<iq type='set' id='{BIND_ID}'>{bind}</iq>".encode())
+        answer = await self._read_stanza(CLOSE_REASONS_AFTER_BIND)
+        if answer.tag != f"{{{CLIENT_NS}}}iq" or answer.get("id") != BIND_ID:
+            raise EndpointLoginRejectedError(CloseReason.GARBLED)
+        jid = answer.findtext(f"{{{BIND_NS}}}bind/{{{BIND_NS}}}jid")
+        if answer.get("type") == IqType.RESULT and jid:
             return jid
-        error = element.find(f"{{{CLIENT_NS}}}error")
-        for child in error if error is not None else ():
-            close_reason = _CLOSE_REASONS_BY_STANZA_ERROR.get(child.tag.rpartition("}")[2])
-            if close_reason is not None:
-                raise EndpointLoginRejectedError(close_reason)
-        raise EndpointLoginRejectedError(CloseReason.ERROR)
+        raise EndpointLoginRejectedError(_refusal_reason(answer))
+
+
+def _refusal_reason(answer: Element) -> CloseReason:
+    """Return the close reason for the answer to a bind that has not been granted."""
+    error = answer.find(f"{{{CLIENT_NS}}}error")
+    if answer.get("type") != IqType.ERROR or error is None:
+        return CloseReason.GARBLED
+    for child in error:
+        close_reason = _CLOSE_REASONS_BY_STANZA_ERROR.get(child.tag.rpartition("}")[2])
+        if close_reason is not None:
+            return close_reason
+    return CloseReason.ERROR
--- a/sageturn/frontends/xmpp/errors.py
+++ b/sageturn/frontends/xmpp/errors.py
@@ -81,7 +81,9 @@
     return StreamCondition.UNDEFINED_CONDITION
 
 
-# Close reasons by the condition of an endpoint's stream error. The bind establishes the session.
+# Close reasons by the condition of an endpoint's stream error. The bind is the request: until its first byte
+# is written it has surely not been executed, whatever ends the stream. Afterwards no stream error proves that,
+# since a stream error concerns the stream and not what was begun on it (RFC 6120, 4.9).
 CLOSE_REASONS_BEFORE_BIND: dict[str, CloseReason] = {
     StreamCondition.RESOURCE_CONSTRAINT: CloseReason.BUSY,
     StreamCondition.SYSTEM_SHUTDOWN: CloseReason.BUSY,
--- a/sageturn/frontends/xmpp/protocol.py
+++ b/sageturn/frontends/xmpp/protocol.py
@@ -47,3 +47,4 @@
     GET = "get"
     SET = "set"
     RESULT = "result"
+    ERROR = "error"
