Keep what clients and endpoints make a relay hold within one memory budget

Causes, from the parser's and the collector's figures: up to 16 stanzas of 64 KiB were kept for an unanswered client, each as bytes and as a tree; a tree takes many times its bytes; expat never forgets a name nor shrinks a buffer; ended connections waited in reference cycles for the collector's oldest generation (19,500 objects after 300 line clients); each connection counted as 48 KiB, whatever it spoke.

Change: net/memory_budget.py counts a standing share for each connection, by wire and TLS, and the input held beyond it. Admission goes by the shares. Over the budget the one that holds most leaves, those without a request first; its input is discarded at once. Stanzas have bounded trees and names, expat is replaced after many names or a large stanza, early input is 16 KiB at most, cycles are cut, and the heap is trimmed once clients have left.

--- a/sageturn/frontends/frontend_connection.py
+++ b/sageturn/frontends/frontend_connection.py
@@ -31,6 +31,13 @@
         self.lifecycle = RequestLifecycle(context.balancer_actor, self, request)
         self.lifecycle.record.client_address = peer_address(client)
 
+    def release(self) -> None:
+        """Release the memory of an ended request at once.
+
+        The request and its connection refer to each other, and would wait for a garbage collection.
+        """
+        del self.lifecycle
+
     async def open_upstream(
         self, endpoint: str, timeout_ms: float, connect_timeout_ms: float, /
     ) -> CloseReason | None:
--- a/sageturn/frontends/platform/connection.py
+++ b/sageturn/frontends/platform/connection.py
@@ -161,3 +161,10 @@
         self._endpoint_input = b""
         self.early_input = b""
         return await relay.run(drain_requested)
+
+    def release(self) -> None:
+        """Release the memory of an ended request at once."""
+        super().release()
+        self._buffer = bytearray()
+        self._endpoint_input = b""
+        self.early_input = b""
--- a/sageturn/frontends/platform/frontend.py
+++ b/sageturn/frontends/platform/frontend.py
@@ -59,7 +59,11 @@
         try:
             connection = PlatformConnection(self._context, sock, buffer, request_line)
             pending.request_id = connection.lifecycle.record.log_id
-            await self._context.run_request(connection.lifecycle)
+            del buffer  # the connection releases it once it is established
+            try:
+                await self._context.run_request(connection.lifecycle)
+            finally:
+                connection.release()
         finally:
             self._request_ids.release(request_line.request_id)
 
--- a/sageturn/frontends/platform/line_forwarder.py
+++ b/sageturn/frontends/platform/line_forwarder.py
@@ -12,6 +12,10 @@
 MIN_FREE_BUFFER_BYTES = 4096  # capacity left for new data after the initial data
 
 
+def ignore_lines(_buffer: bytearray, _end: int) -> None:
+    """Do nothing: forwarding has ended."""
+
+
 class LineForwarder:
     """Forwarder of one direction of an established connection.
 
@@ -44,6 +48,11 @@
         self._is_at_line_boundary = True
         self.forwarded_bytes = 0
 
+    def release(self) -> None:
+        """Release the buffer and the callback once forwarding has ended."""
+        self._buffer = bytearray()
+        self._on_lines = ignore_lines
+
     @property
     def target(self) -> socket.socket:
         """The socket that is written."""
--- a/sageturn/frontends/platform/relaying.py
+++ b/sageturn/frontends/platform/relaying.py
@@ -80,6 +80,8 @@
             for task in (downstream, upstream, drain_waiter, idle, reporting):
                 await cancel_and_wait(task)
             self._record_totals()
+            self._to_client.release()
+            self._to_endpoint.release()
             await asyncio.gather(close_gracefully(self._client), close_gracefully(self._endpoint))
 
     async def _finish_forwarding(
--- a/sageturn/frontends/xmpp/channel.py
+++ b/sageturn/frontends/xmpp/channel.py
@@ -7,7 +7,8 @@
 import ssl
 from contextlib import suppress
 
-READ_BYTES = 16384
+MAX_RECORD_BYTES = 16384  # plain bytes of a TLS record
+READ_BYTES = 4096  # read at a time; a session reads no more before it has forwarded that
 
 
 class Channel:
@@ -61,6 +62,7 @@
             self._incoming, self._outgoing, server_side=server_side, server_hostname=host
         )
         self._send_lock = asyncio.Lock()
+        self._has_waited = True  # False once ``receive`` has returned data without waiting for the socket
 
     async def handshake(self) -> None:
         """Perform the TLS handshake. Called once, before any other method."""
@@ -78,14 +80,24 @@
                 return
 
     async def receive(self) -> bytes:
-        """Wait for decrypted data and return it; b"" once the peer has closed."""
+        """Wait for decrypted data and return it; b"" once the peer has closed.
+
+        One read of the socket can hold hundreds of records. Other tasks get their turn between two of them.
+        """
+        if not self._has_waited:
+            await asyncio.sleep(0)
+        self._has_waited = False
         while True:
             try:
                 return self._tls.read(READ_BYTES)
             except ssl.SSLWantReadError:
-                await self._send_encrypted()  # ``read`` may produce output, e.g. the answer to a key update
+                if self._outgoing.pending:
+                    await (
+                        self._send_encrypted()
+                    )  # ``read`` may produce output, e.g. the answer to a key update
                 if not await self._receive_encrypted():
                     return b""
+                self._has_waited = True
             except ssl.SSLZeroReturnError:
                 return b""
 
@@ -103,9 +115,11 @@
                 return b""
 
     async def send(self, data: bytes) -> None:
-        """Encrypt and send all of ``data``."""
-        self._tls.write(data)
-        await self._send_encrypted()
+        """Encrypt and send ``data`` record by record, since buffers keep the size of the largest write."""
+        async with self._send_lock:
+            for start in range(0, len(data), MAX_RECORD_BYTES):
+                self._tls.write(data[start : start + MAX_RECORD_BYTES])
+                await self._flush()
 
     async def send_close(self) -> None:
         """Send the close_notify alert."""
@@ -122,6 +136,10 @@
     async def _send_encrypted(self) -> None:
         # Records must be sent in the order in which they were encrypted, also those of concurrent tasks.
         async with self._send_lock:
-            data = self._outgoing.read()
-            if data:
-                await super().send(data)
+            await self._flush()
+
+    async def _flush(self) -> None:
+        """Send the output of the TLS layer; requires the lock."""
+        data = self._outgoing.read()
+        if data:
+            await super().send(data)
--- a/sageturn/frontends/xmpp/connection.py
+++ b/sageturn/frontends/xmpp/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from functools import partial
 from xml.sax.saxutils import escape, quoteattr
 
 from sageturn.core.close_reason import CloseReason
@@ -18,13 +19,16 @@
 from sageturn.frontends.xmpp.namespaces import BIND_NS
 from sageturn.frontends.xmpp.options import XmppOptions
 from sageturn.frontends.xmpp.relaying import StanzaRelay
-from sageturn.frontends.xmpp.session import XmppSession
+from sageturn.frontends.xmpp.session import ReadResult, XmppSession
 from sageturn.frontends.xmpp.stream_parser import Stanza, StreamClosed
 from sageturn.net.addresses import Address
 from sageturn.net.closing import close_gracefully, close_with_reset
+from sageturn.net.memory_budget import ConnectionMemory, HeldFor
 from sageturn.net.sockets import is_closed_by_peer, wait_for_close_reason
 
-MAX_EARLY_STANZAS = 16  # a client that sends this many before it is answered is at fault
+# A client that sends this much before it is answered is at fault.
+MAX_EARLY_STANZAS = 16
+MAX_EARLY_BYTES = 16384
 
 
 def encode_bind_result(iq_id: str, jid: str) -> bytes:
@@ -37,8 +41,22 @@
     """Stream of an XMPP client, and its endpoint's stream once the session is established."""
 
     def __init__(
-        self, context: RelayContext, options: XmppOptions, client: XmppSession, bind_request: BindRequest
+        self,
+        context: RelayContext,
+        options: XmppOptions,
+        client: XmppSession,
+        bind_request: BindRequest,
+        memory: ConnectionMemory,
     ) -> None:
+        """Prepare to place a client's bind.
+
+        Args:
+            context: the relay's shared objects.
+            options: the options that were in force when the client connected.
+            client: the client's session, which is logged in.
+            bind_request: the bind that the client has sent.
+            memory: the connection's account in the memory budget.
+        """
         account = bind_request.account
         request = ClientRequest(
             class_name=account.class_name,
@@ -52,9 +70,13 @@
         self._options = options
         self._client = client
         self._bind_request = bind_request
+        self._memory = memory
+        self._memory.activate(self._on_shed)
+        self._is_shed = False  # True once the client's input has been discarded for lack of memory
         self._endpoint: XmppSession | None = None
         self._jid = ""
         self._early_stanzas: list[Stanza] = []  # stanzas that the client sent before it was answered
+        self._max_early_received_bytes = client.received_bytes + MAX_EARLY_BYTES
         self._idle_timeout = IdleTimeout(asyncio.get_running_loop().time(), options.idle_timeout_s)
 
     # ------------------------------------------------------------ attempts
@@ -67,11 +89,14 @@
     async def _exchange(
         self, sock: socket.socket, deadline_s: float, check_before_write: CheckBeforeWrite
     ) -> CloseReason | None:
-        session = XmppSession(Channel(sock))
+        session = XmppSession(Channel(sock), partial(self._memory.hold, HeldFor.ENDPOINT))
+        self._memory.set_discard(HeldFor.ENDPOINT, session.discard_input)
         login = EndpointLogin(session, self._options.endpoint, self._bind_request, check_before_write)
         close_reason = await self._log_in(login, deadline_s)
         if close_reason is None:
             self._endpoint = session
+        else:
+            session.release()
         return close_reason
 
     async def _log_in(self, login: EndpointLogin, deadline_s: float) -> CloseReason | None:
@@ -100,24 +125,34 @@
 
         A client that closes its stream has cancelled its request, though its connection may stay open.
         """
-        events = self._client.parser.events
+        if self._is_shed:
+            return CloseReason.CLIENT_FAULT
         try:
-            ended = self._client.read_available()
+            close_reason = self._read_early_input()
         except OSError:
             return CloseReason.CLIENT_RESET
         except StreamError:
             return CloseReason.CLIENT_FAULT
-        while events and len(self._early_stanzas) < MAX_EARLY_STANZAS:
-            event = events.popleft()
-            if isinstance(event, StreamClosed):
+        # A FIN may follow bytes that are not parsed: those beyond the limits, or an incomplete TLS record.
+        # Therefore the socket is checked too.
+        if is_closed_by_peer(self._client.channel.sock):
+            return CloseReason.CLIENT_LEFT
+        return close_reason
+
+    def _read_early_input(self) -> CloseReason | None:
+        """Keep the stanzas that have arrived, up to the limits for a client that is not answered yet."""
+        while (
+            len(self._early_stanzas) < MAX_EARLY_STANZAS
+            and self._client.received_bytes <= self._max_early_received_bytes
+        ):
+            event = self._client.next_event_available()
+            if event is ReadResult.NOTHING:
+                return None
+            if event is ReadResult.CLOSED or isinstance(event, StreamClosed):
                 return CloseReason.CLIENT_LEFT
             if isinstance(event, Stanza):
-                self._early_stanzas.append(event)
-        # A FIN may follow bytes that are not parsed: those after the last early stanza, or an incomplete TLS
-        # record. The socket is therefore checked too.
-        if ended or is_closed_by_peer(self._client.channel.sock):
-            return CloseReason.CLIENT_LEFT
-        return CloseReason.CLIENT_FAULT if len(self._early_stanzas) >= MAX_EARLY_STANZAS else None
+                self._early_stanzas.append(event.without_tree())
+        return CloseReason.CLIENT_FAULT
 
     async def send_final_response(self, response: FinalResponse) -> None:
         """Send ``response`` to the client, and close its connection."""
@@ -141,5 +176,20 @@
         assert endpoint is not None
         early_stanzas = self._early_stanzas
         self._early_stanzas = []
+        self._client.establish()
+        endpoint.establish()
         relay = StanzaRelay(self._client, endpoint, self.lifecycle, self._idle_timeout, early_stanzas)
         return await relay.run(drain_requested)
+
+    def _on_shed(self) -> None:
+        """Have the client of an established session reconnect; one that is not answered yet is at fault."""
+        self._is_shed = True
+        self._early_stanzas = []
+        self.lifecycle.begin_drain()
+
+    def release(self) -> None:
+        """Release the memory of an ended request at once."""
+        super().release()
+        self._early_stanzas = []
+        if self._endpoint is not None:
+            self._endpoint.release()
--- a/sageturn/frontends/xmpp/errors.py
+++ b/sageturn/frontends/xmpp/errors.py
@@ -82,7 +82,7 @@
 
 
 # Close reasons by the condition of an endpoint's stream error. The bind is the request: until its first byte
-# is written it has surely not been executed, whatever ends the stream. Afterwards no stream error proves that,
+# is written it has surely not been executed, whatever ends the stream. Afterwards no stream error proves it,
 # since a stream error concerns the stream and not what was begun on it (RFC 6120, 4.9).
 CLOSE_REASONS_BEFORE_BIND: dict[str, CloseReason] = {
     StreamCondition.RESOURCE_CONSTRAINT: CloseReason.BUSY,
--- a/sageturn/frontends/xmpp/relaying.py
+++ b/sageturn/frontends/xmpp/relaying.py
@@ -88,6 +88,9 @@
             for task in (downstream, upstream, drain_waiter, idle):
                 await cancel_and_wait(task)
             self._record_totals()
+            self._early_stanzas.clear()
+            self._client.release()
+            self._endpoint.release()
         await self._close(end)
         return end.close_reason
 
@@ -145,29 +148,10 @@
         await asyncio.gather(close_gracefully(client), close_gracefully(endpoint))
 
     async def _forward_to_client(self) -> StreamEnd:
-        loop = asyncio.get_running_loop()
         try:
             while True:
-                event = await self._endpoint.next_event()
-                self._idle_timeout.on_endpoint_data(loop.time())
-                if event is None:
-                    return StreamEnd(
-                        CloseReason.ENDED, encode_stream_error(StreamCondition.REMOTE_CONNECTION_FAILED)
-                    )
-                if isinstance(event, StreamClosed):
-                    return StreamEnd(CloseReason.SERVED)
-                if not isinstance(event, Stanza):
-                    continue
-                if event.element.tag == f"{{{STREAMS_NS}}}error":
-                    condition = stream_error_condition(event.element)
-                    close_reason = CLOSE_REASONS_AFTER_BIND.get(condition, CloseReason.ERROR)
-                    return StreamEnd(close_reason, event.raw)
-                await self._report_loads(event)
-                async with self._client_write_lock:
-                    try:
-                        await self._client.send(event.raw)
-                    except OSError:
-                        return StreamEnd(CloseReason.CLIENT_RESET)
+                if (end := await self._forward_event_to_client()) is not None:
+                    return end
         except OSError:
             return StreamEnd(CloseReason.RESET)
         except StreamError:
@@ -176,27 +160,52 @@
             )
             return StreamEnd(CloseReason.GARBLED, error)
 
-    async def _forward_to_endpoint(self) -> StreamEnd:
-        loop = asyncio.get_running_loop()
-        while True:
+    async def _forward_event_to_client(self) -> StreamEnd | None:
+        """Forward the endpoint's next stanza; return the reason once forwarding has ended."""
+        event = await self._endpoint.next_event()
+        self._idle_timeout.on_endpoint_data(asyncio.get_running_loop().time())
+        if event is None:
+            return StreamEnd(CloseReason.ENDED, encode_stream_error(StreamCondition.REMOTE_CONNECTION_FAILED))
+        if isinstance(event, StreamClosed):
+            return StreamEnd(CloseReason.SERVED)
+        if not isinstance(event, Stanza):
+            return None
+        if event.element.tag == f"{{{STREAMS_NS}}}error":
+            condition = stream_error_condition(event.element)
+            close_reason = CLOSE_REASONS_AFTER_BIND.get(condition, CloseReason.ERROR)
+            return StreamEnd(close_reason, event.raw)
+        await self._report_loads(event)
+        async with self._client_write_lock:
             try:
-                event = (
-                    self._early_stanzas.popleft() if self._early_stanzas else await self._client.next_event()
-                )
+                await self._client.send(event.raw)
             except OSError:
                 return StreamEnd(CloseReason.CLIENT_RESET)
-            except StreamError as error:
-                return StreamEnd(CloseReason.CLIENT_LEFT, encode_stream_error(error.condition, error.text))
-            if event is None or isinstance(event, StreamClosed):
-                return StreamEnd(CloseReason.CLIENT_LEFT)
-            if not isinstance(event, Stanza):
-                continue
-            if _requires_response(event):
-                self._idle_timeout.on_client_line_forwarded(loop.time())
-            try:
-                await self._endpoint.send(event.raw)
-            except OSError:
-                return StreamEnd(CloseReason.RESET)
+        return None
+
+    async def _forward_to_endpoint(self) -> StreamEnd:
+        try:
+            while True:
+                if (end := await self._forward_event_to_endpoint()) is not None:
+                    return end
+        except OSError:
+            return StreamEnd(CloseReason.CLIENT_RESET)
+        except StreamError as error:
+            return StreamEnd(CloseReason.CLIENT_LEFT, encode_stream_error(error.condition, error.text))
+
+    async def _forward_event_to_endpoint(self) -> StreamEnd | None:
+        """Forward the client's next stanza; return the reason once forwarding has ended."""
+        event = self._early_stanzas.popleft() if self._early_stanzas else await self._client.next_event()
+        if event is None or isinstance(event, StreamClosed):
+            return StreamEnd(CloseReason.CLIENT_LEFT)
+        if not isinstance(event, Stanza):
+            return None
+        if _requires_response(event):
+            self._idle_timeout.on_client_line_forwarded(asyncio.get_running_loop().time())
+        try:
+            await self._endpoint.send(event.raw)
+        except OSError:
+            return StreamEnd(CloseReason.RESET)
+        return None
 
     async def _report_loads(self, stanza: Stanza) -> None:
         for load in stanza.element.findall(f"{{{RELAY_NS}}}load"):
--- a/sageturn/frontends/xmpp/session.py
+++ b/sageturn/frontends/xmpp/session.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
+from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum, auto
 from xml.sax.saxutils import quoteattr
 
 from sageturn.frontends.xmpp.channel import Channel
@@ -11,6 +14,7 @@
 from sageturn.frontends.xmpp.namespaces import CLIENT_NS, STREAMS_NS
 from sageturn.frontends.xmpp.protocol import StreamCondition
 from sageturn.frontends.xmpp.stream_parser import (
+    SESSION_LIMITS,
     Stanza,
     StreamClosed,
     StreamEvent,
@@ -20,17 +24,46 @@
 
 STREAM_CLOSE = b"</stream:stream>"
 STREAM_ID_BYTES = 8  # random bytes, sent in hexadecimal
-MAX_READ_AVAILABLE_BYTES = 65536  # a peer that floods the relay must not delay the others
+FEED_BYTES = 512  # input that is parsed at a time: bounds the queued events, and a turn of the event loop
+HELD_BYTES_STEP = 2048  # changes of the held memory below this are not reported
+
+
+class ReadResult(Enum):
+    """Result of a read that does not wait."""
+
+    PARSED = auto()  # a piece of input was parsed
+    NOTHING = auto()  # no input has arrived
+    CLOSED = auto()  # the peer has closed the connection
+
+
+def ignore_held_bytes(held_bytes: int) -> None:
+    """Do nothing; the default for sessions that have no memory budget."""
 
 
 class XmppSession:
-    """XMPP stream of one connection, which is restarted after TLS and SASL."""
+    """XMPP stream of one connection, which is restarted after TLS and SASL.
 
-    def __init__(self, channel: Channel) -> None:
+    Attributes:
+        received_bytes: input that was parsed so far.
+        sent_bytes: bytes that were sent so far.
+    """
+
+    def __init__(self, channel: Channel, on_held_bytes: Callable[[int], None] = ignore_held_bytes) -> None:
+        """Create a session on a new connection.
+
+        Args:
+            channel: the connection.
+            on_held_bytes: called with the memory that the peer's input takes, when it has changed.
+        """
         self.channel = channel
         self.parser = StreamParser()
         self.sent_bytes = 0
-        self._received_bytes = 0
+        self.received_bytes = 0
+        self._unparsed = b""  # received input that follows the parsed one
+        self._taken_bytes = 0  # memory of the event that ``next_event`` has returned last
+        self._on_held_bytes = on_held_bytes
+        self._held_bytes = 0  # as reported last
+        self._is_discarded = False  # True once the peer's input is no longer parsed
         self._header_sent = False  # True once the current stream's header is sent
 
     def restart(self, channel: Channel | None = None) -> None:
@@ -40,40 +73,91 @@
             StreamError: the peer sent stanzas before the restart. Before TLS, a third party could have
                 injected them.
         """
+        while self._unparsed:
+            self._parse_piece()
         if self.parser.events or self.parser.is_mid_stanza:
             raise StreamError(StreamCondition.POLICY_VIOLATION, "sent before the stream was restarted")
         if channel is not None:
             self.channel = channel
+        self.parser.close()
         self.parser = StreamParser()
         self._header_sent = False
 
+    def discard_input(self) -> None:
+        """Release the memory of the peer's input at once; a task in ``next_event`` has to be cancelled."""
+        self._is_discarded = True
+        self.parser.close()
+        self._unparsed = b""
+        self._report_held_bytes()
+
+    def release(self) -> None:
+        """Release all memory of the peer's input; forwarding has ended."""
+        self._taken_bytes = 0
+        self.discard_input()
+
+    def establish(self) -> None:
+        """Accept long stanzas from now on."""
+        self.parser.limits = SESSION_LIMITS
+
     async def next_event(self) -> StreamEvent | None:
         """Wait for the next event and return it; None if the peer closed the connection but not the stream.
 
+        Between two pieces of input that have arrived already, other tasks get their turn.
+
         Raises:
             StreamError: the stream is invalid.
             OSError: the connection failed.
         """
+        self._taken_bytes = 0
         while not self.parser.events:
-            data = await self.channel.receive()
-            if not data:
-                return None
-            self._received_bytes += len(data)
-            self.parser.feed(data)
-        return self.parser.events.popleft()
-
-    def read_available(self) -> bool:
-        """Parse the bytes that have arrived, about ``MAX_READ_AVAILABLE_BYTES`` at most, without waiting.
-
-        Return True if the peer has closed the connection. Raise the same errors as ``next_event``.
+            if self._is_discarded:
+                await asyncio.get_running_loop().create_future()
+            if self._unparsed:
+                await asyncio.sleep(0)
+            else:
+                self._report_held_bytes()
+                self._unparsed = await self.channel.receive()
+                if not self._unparsed:
+                    return None
+            self._parse_piece()
+        return self._take_event()
+
+    def next_event_available(self) -> StreamEvent | ReadResult:
+        """Return the next event without waiting, or else the result of reading a further piece of input.
+
+        Raise the same errors as ``next_event``. This must not be called while a task waits in ``next_event``.
         """
-        limit = self._received_bytes + MAX_READ_AVAILABLE_BYTES
-        while self._received_bytes < limit and (data := self.channel.receive_available()) is not None:
+        self._taken_bytes = 0
+        if self.parser.events:
+            return self._take_event()
+        if self._is_discarded:
+            return ReadResult.NOTHING
+        if not self._unparsed:
+            data = self.channel.receive_available()
             if not data:
-                return True
-            self._received_bytes += len(data)
-            self.parser.feed(data)
-        return False
+                return ReadResult.NOTHING if data is None else ReadResult.CLOSED
+            self._unparsed = data
+        self._parse_piece()
+        return ReadResult.PARSED
+
+    def _parse_piece(self) -> None:
+        piece = self._unparsed[:FEED_BYTES]
+        self._unparsed = self._unparsed[FEED_BYTES:]
+        self.received_bytes += len(piece)
+        self.parser.feed(piece)
+        self._report_held_bytes()
+
+    def _take_event(self) -> StreamEvent:
+        before = self.parser.held_bytes
+        event = self.parser.pop_event()
+        self._taken_bytes = before - self.parser.held_bytes
+        return event
+
+    def _report_held_bytes(self) -> None:
+        held_bytes = self.parser.held_bytes + self._taken_bytes
+        if abs(held_bytes - self._held_bytes) >= HELD_BYTES_STEP:
+            self._held_bytes = held_bytes
+            self._on_held_bytes(held_bytes)
 
     async def expect_header(self) -> StreamOpened:
         """Return the peer's stream header; raise StreamError, or ConnectionResetError if the peer closed."""
@@ -93,6 +177,8 @@
             )
         if not isinstance(event, Stanza):
             raise StreamError(StreamCondition.BAD_FORMAT)
+        if event.is_truncated:
+            raise StreamError(StreamCondition.POLICY_VIOLATION, "too large")
         return event
 
     async def send(self, data: bytes) -> None:
--- a/sageturn/net/admission.py
+++ b/sageturn/net/admission.py
@@ -1,7 +1,7 @@
 """Admission control: limits the connections of all listeners, and evicts pending ones to admit new ones.
 
-A connection is pending until it has sent a valid request. Pending connections have a limit of their own; once
-it is reached, the oldest is evicted for each new one.
+A connection is pending until it has sent a valid request. Pending connections have limits of their own, in
+number and in memory; once one is reached, the oldest is evicted for each new one.
 """
 
 from __future__ import annotations
@@ -11,14 +11,26 @@
 from dataclasses import dataclass
 
 from sageturn.net.addresses import Address
+from sageturn.net.memory_budget import MemoryBudget, MemoryLimits
 
+BYTES_PER_MB = 1 << 20
 BASE_MEMORY_MB = 26.0  # memory of a relay without connections
-CONNECTION_MEMORY_MB = 48.0 / 1024.0  # memory of an established connection, the endpoint's side included
+BUDGET_RATIO = 0.9  # part of the rest that connections may use; what is left covers heap fragmentation
+ADMISSION_RATIO = (
+    0.85  # part of that for standing shares; what is left is for input that is held for a moment
+)
+LINE_CONNECTION_BYTES = 48 * 1024  # an established connection of two sockets without TLS, both sides
+MAX_PENDING_MEMORY_RATIO = 0.5
 PENDING_DESCRIPTOR_RATIO = 1.0 / 6.0  # the rest serves requests (two each), closing sockets, files
 MIN_PENDING_CONNECTIONS = 8
 NO_REQUEST_ID = "-"
 
 
+def line_connection_bytes() -> int:
+    """Return the standing share of a connection of two sockets without TLS."""
+    return LINE_CONNECTION_BYTES
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessLimits:
     """Limits that the platform sets for this process: file descriptors (``sockets``) and memory in MB."""
@@ -29,22 +41,33 @@
     @property
     def max_pending(self) -> int:
         """Maximum number of pending connections."""
-        by_descriptors = int(self.sockets * PENDING_DESCRIPTOR_RATIO)
-        return max(MIN_PENDING_CONNECTIONS, min(by_descriptors, self.max_connections // 2))
+        return max(MIN_PENDING_CONNECTIONS, int(self.sockets * PENDING_DESCRIPTOR_RATIO))
 
     @property
-    def max_connections(self) -> int:
-        """Maximum number of connections from clients, pending or not."""
-        by_memory = int((self.memory_mb - BASE_MEMORY_MB) / CONNECTION_MEMORY_MB)
-        return max(2 * MIN_PENDING_CONNECTIONS, by_memory)
+    def memory_bytes(self) -> MemoryLimits:
+        """Memory that all connections from clients may use together, pending or not."""
+        available_bytes = (self.memory_mb - BASE_MEMORY_MB) * BUDGET_RATIO * BYTES_PER_MB
+        min_bytes = 2 * MIN_PENDING_CONNECTIONS * LINE_CONNECTION_BYTES
+        admission_bytes = max(min_bytes, int(available_bytes * ADMISSION_RATIO))
+        return MemoryLimits(max(admission_bytes, int(available_bytes)), admission_bytes)
 
 
 class PendingConnection:
     """Accepted connection. Until it has sent a request, its time is limited and it may be evicted."""
 
-    def __init__(self, admission: AdmissionController, peer: Address, listener: Address) -> None:
-        """Store the addresses of the client and of the listener, which log lines show."""
+    def __init__(
+        self, admission: AdmissionController, peer: Address, listener: Address, standing_bytes: int
+    ) -> None:
+        """Open the connection's account in the memory budget.
+
+        Args:
+            admission: the controller that counts the connection.
+            peer: the client's address, for log lines.
+            listener: the listener's address, for log lines.
+            standing_bytes: the connection's standing share of the memory budget.
+        """
         self._admission = admission
+        self.memory = admission.memory.open(standing_bytes, self._on_shed)
         self._accepted_s = asyncio.get_running_loop().time()
         self._timeout: asyncio.Timeout | None = None
         self.peer = peer
@@ -68,8 +91,13 @@
             with suppress(RuntimeError):  # the context was exited, or has just expired
                 self._timeout.reschedule(0.0)
 
+    def _on_shed(self) -> None:
+        self._admission.mark_active(self)
+        self.evict()
+
     def mark_active(self) -> None:
         """Exempt the connection from eviction. Called once it has sent a valid request."""
+        self.memory.activate()
         self._admission.mark_active(self)
 
 
@@ -78,35 +106,58 @@
 
     def __init__(self, limits: ProcessLimits) -> None:
         """Set the ``limits``, which may be replaced at any time and apply to new connections."""
-        self.limits = limits
+        self._limits = limits
+        self.memory = MemoryBudget(limits.memory_bytes)
         self.connection_count = 0
         self._pending: dict[PendingConnection, None] = {}  # oldest first
+        self._pending_bytes = 0  # sum of their standing shares
 
     @property
-    def is_full(self) -> bool:
-        """True if a new connection is admitted only if a pending one is evicted."""
-        return self.connection_count >= self.limits.max_connections
+    def limits(self) -> ProcessLimits:
+        """The limits in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ProcessLimits) -> None:
+        self._limits = limits
+        self.memory.limits = limits.memory_bytes
 
     @property
     def pending_count(self) -> int:
         """Number of pending connections."""
         return len(self._pending)
 
-    def admit(self, peer: Address, listener: Address) -> PendingConnection:
-        """Count and return a new connection, and evict the oldest pending ones beyond their limit."""
-        connection = PendingConnection(self, peer, listener)
+    def make_room(self, standing_bytes: int) -> bool:
+        """Return whether a connection with this standing share can be admitted.
+
+        The oldest pending connection is evicted for it where the memory is used up.
+        """
+        return self.memory.has_room_for(standing_bytes) or self.evict_oldest_pending()
+
+    def admit(
+        self, peer: Address, listener: Address, standing_bytes: int = LINE_CONNECTION_BYTES
+    ) -> PendingConnection:
+        """Count and return a new connection, and evict the oldest pending ones beyond their limits."""
+        connection = PendingConnection(self, peer, listener, standing_bytes)
         self.connection_count += 1
         self._pending[connection] = None
-        while len(self._pending) > self.limits.max_pending:
+        self._pending_bytes += standing_bytes
+        while self._has_too_many_pending():
             self.evict_oldest_pending()
         return connection
 
+    def _has_too_many_pending(self) -> bool:
+        if len(self._pending) <= MIN_PENDING_CONNECTIONS:
+            return False
+        max_pending_bytes = self.memory.limits.admission_bytes * MAX_PENDING_MEMORY_RATIO
+        return len(self._pending) > self._limits.max_pending or self._pending_bytes > max_pending_bytes
+
     def evict_oldest_pending(self) -> bool:
         """Evict the connection that has been pending for longest; return False if none is pending."""
         oldest = next(iter(self._pending), None)
         if oldest is None:
             return False
-        del self._pending[oldest]
+        self.mark_active(oldest)
         oldest.evict()
         return True
 
@@ -117,9 +168,12 @@
 
     def mark_active(self, connection: PendingConnection) -> None:
         """Stop counting ``connection`` as pending."""
-        self._pending.pop(connection, None)
+        if connection in self._pending:
+            del self._pending[connection]
+            self._pending_bytes -= connection.memory.standing_bytes
 
     def release(self, connection: PendingConnection) -> None:
         """Stop counting ``connection``. Called once its socket is closed."""
         self.mark_active(connection)
+        connection.memory.release()
         self.connection_count -= 1
--- a/sageturn/net/connection_tasks.py
+++ b/sageturn/net/connection_tasks.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 ConnectionHandler = Callable[[socket.socket, PendingConnection], Awaitable[None]]
+StandingBytes = Callable[[], int]
 
 CANCEL_RETRY_S = 0.02
 REJECT_READ_TIMEOUT_S = 0.03  # most clients send their first bytes as soon as they are connected
@@ -27,7 +28,12 @@
     """Tasks that run the frontend's handler for admitted connections, and reject the others."""
 
     def __init__(
-        self, listener: Address, handler: ConnectionHandler, rejection: bytes, admission: AdmissionController
+        self,
+        listener: Address,
+        handler: ConnectionHandler,
+        rejection: bytes,
+        admission: AdmissionController,
+        standing_bytes: StandingBytes,
     ) -> None:
         """Create an empty set of tasks for the connections of one listener.
 
@@ -36,20 +42,23 @@
             handler: Serves a connection until it has ended; the socket is closed when it returns.
             rejection: Bytes that are sent to a client that is not admitted.
             admission: Counter of the connections of all listeners.
+            standing_bytes: Returns the standing share of a new connection in the memory budget.
         """
         self._listener = listener
         self._handler = handler
         self._rejection = rejection
         self._admission = admission
+        self._standing_bytes = standing_bytes
         self._tasks: set[asyncio.Task[None]] = set()
 
     def serve_or_reject(self, accepted: AcceptedConnection) -> None:
         """Start to serve a connection, or to reject it if the relay is full and no connection is pending."""
-        if self._admission.is_full and not self._admission.evict_oldest_pending():
-            self.start(self.reject(accepted))
-        else:
-            pending = self._admission.admit(accepted.peer, self._listener)
+        standing_bytes = self._standing_bytes()
+        if self._admission.make_room(standing_bytes):
+            pending = self._admission.admit(accepted.peer, self._listener, standing_bytes)
             self.start(self._serve(accepted.sock, pending))
+        else:
+            self.start(self.reject(accepted))
 
     def start(self, coroutine: Coroutine[None, None, None]) -> None:
         """Run ``coroutine`` as one of the tasks that ``wait_until_idle`` waits for."""
--- a/sageturn/net/listener.py
+++ b/sageturn/net/listener.py
@@ -8,9 +8,9 @@
 from enum import Enum, auto
 
 from sageturn.net.addresses import Address
-from sageturn.net.admission import AdmissionController
+from sageturn.net.admission import AdmissionController, line_connection_bytes
 from sageturn.net.backlog import reject_backlog, reject_backlog_and_close
-from sageturn.net.connection_tasks import ConnectionHandler, ConnectionTasks
+from sageturn.net.connection_tasks import ConnectionHandler, ConnectionTasks, StandingBytes
 from sageturn.net.descriptors import DESCRIPTOR_RESERVE, OUT_OF_DESCRIPTORS_ERRNOS
 from sageturn.net.listening_socket import BACKLOG_CONNECTIONS, ListeningSocket
 
@@ -35,9 +35,21 @@
     """Listener on one address, which closes without resetting the clients in its backlog."""
 
     def __init__(
-        self, address: Address, handler: ConnectionHandler, rejection: bytes, admission: AdmissionController
+        self,
+        address: Address,
+        handler: ConnectionHandler,
+        rejection: bytes,
+        admission: AdmissionController,
+        standing_bytes: StandingBytes = line_connection_bytes,
     ) -> None:
-        """Bind ``address``; ``rejection`` is sent to a client that is not admitted.
+        """Bind ``address``.
+
+        Args:
+            address: the address to listen on.
+            handler: serves a connection until it has ended.
+            rejection: sent to a client that is not admitted.
+            admission: counts the connections of all listeners.
+            standing_bytes: returns the standing share of a new connection in the memory budget.
 
         Raises:
             OSError: the address cannot be bound.
@@ -46,7 +58,7 @@
         self.address: Address = self._listening.address
         self._rejection = rejection
         self._admission = admission
-        self._connections = ConnectionTasks(self.address, handler, rejection, admission)
+        self._connections = ConnectionTasks(self.address, handler, rejection, admission, standing_bytes)
         self._system_shortages = 0  # consecutive failures since a connection was accepted
 
     def start_listening(self) -> None:
--- /dev/null
+++ b/sageturn/relay/connection_memory.py
@@ -0,0 +1,67 @@
+"""Gives the memory of ended connections back to the system, and logs the memory budget's figures."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from sageturn.net.memory_budget import MemoryBudget
+
+log = logging.getLogger(__name__)
+
+CHECK_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 60.0
+MIN_RELEASED_BYTES = (
+    2 << 20
+)  # released memory that is worth a walk over the heap, which takes about a millisecond
+
+
+def trim_heap() -> None:
+    """Return free memory within the heap to the system, where glibc would keep it."""
+    import ctypes  # not needed by a relay whose clients never leave many at a time
+
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
+    if trim is not None:
+        trim(0)
+
+
+class ConnectionMemoryMonitor:
+    """Actor that trims the heap once connections have given memory back, and reports the budget."""
+
+    def __init__(self, budget: MemoryBudget, trim: Callable[[], None] = trim_heap) -> None:
+        self._budget = budget
+        self._trim = trim
+        self._highest_bytes = 0  # highest use since the heap was trimmed last
+
+    async def run(self) -> None:
+        """Check and report until cancelled, and then report once more."""
+        loop = asyncio.get_running_loop()
+        next_report_s = loop.time() + REPORT_INTERVAL_S
+        try:
+            while True:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+                self.check()
+                if loop.time() >= next_report_s:
+                    next_report_s += REPORT_INTERVAL_S
+                    self.report()
+        finally:
+            self.report()
+
+    def check(self) -> None:
+        """Trim the heap if enough memory was given back since the last time."""
+        used_bytes = self._budget.used_bytes
+        self._highest_bytes = max(self._highest_bytes, used_bytes)
+        if self._highest_bytes - used_bytes >= MIN_RELEASED_BYTES:
+            self._trim()
+            self._highest_bytes = used_bytes
+
+    def report(self) -> None:
+        """Log one line with the budget's figures."""
+        log.info(
+            "connection memory used_bytes=%d peak_bytes=%d limit_bytes=%d shed=%d",
+            self._budget.used_bytes,
+            self._budget.peak_bytes,
+            self._budget.limits.max_bytes,
+            self._budget.shed_connections,
+        )
--- a/sageturn/relay/relay.py
+++ b/sageturn/relay/relay.py
@@ -23,6 +23,7 @@
 from sageturn.net.discovery import DiscoveryClient
 from sageturn.net.listener import Listener
 from sageturn.relay.closed_connections import ClosedConnections
+from sageturn.relay.connection_memory import ConnectionMemoryMonitor
 from sageturn.relay.counter_report import CounterReporter
 from sageturn.relay.ingress import RelayIngress
 from sageturn.relay.operator_control import OverridesSubsystem, RebalancingSubsystem
@@ -123,6 +124,7 @@
             ActorSubsystem("listener", self.listener.run),
             ActorSubsystem("state_reporter", self.state_reporter.run),
             ActorSubsystem("counter_reporter", CounterReporter(self.balancer_actor).run),
+            ActorSubsystem("connection_memory", ConnectionMemoryMonitor(self.admission.memory).run),
             ActorSubsystem("config_reloader", self._reloader.run),
             self._overrides,
             self._xmpp,
--- a/sageturn/relay/subsystems.py
+++ b/sageturn/relay/subsystems.py
@@ -52,7 +52,11 @@
         if options is not None:
             self._frontend = XmppFrontend(context, options, Accounts(store))
             self.listener = Listener(
-                options.listen, self._frontend.serve, self._frontend.rejection, admission
+                options.listen,
+                self._frontend.serve,
+                self._frontend.rejection,
+                admission,
+                self._frontend.standing_bytes,
             )
 
     def start(self, actors: ActorSupervisor) -> None:
--- a/tests/support/relay_process.py
+++ b/tests/support/relay_process.py
@@ -5,7 +5,7 @@
 import asyncio
 import os
 import sys
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -22,6 +22,7 @@
     address: Address,
     log: Any = asyncio.subprocess.DEVNULL,
     environment: Mapping[str, str] | None = None,
+    arguments: Sequence[str] = (),
 ) -> AsyncIterator[asyncio.subprocess.Process]:
     """Run the program until the end of the context; kill it there if it has not exited.
 
@@ -30,11 +31,13 @@
         address: where the relay listens, which must answer a PING within ``READY_TIMEOUT_S``.
         log: the process's standard error.
         environment: variables besides ``GW_CONFIG`` that replace those of this process.
+        arguments: the program's arguments.
     """
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
         "sageturn",
+        *arguments,
         env={**os.environ, "GW_CONFIG": str(config_file), **(environment or {})},
         stderr=log,
     )
