Trim the heap after bursts that came and went between two checks

Cause: the monitor compared the budget's use at its own checks, once a second, and the burst came and went in between. The budget keeps the highest use since the last trim now.

--- a/sageturn/net/memory_budget.py
+++ b/sageturn/net/memory_budget.py
@@ -113,6 +113,7 @@
         self.used_bytes = 0
         self._standing_bytes = 0
         self.peak_bytes = 0
+        self._recent_peak_bytes = 0  # since ``take_release`` was last true
         self.shed_connections = 0  # number of connections that were asked to leave
         self._accounts: dict[ConnectionMemory, None] = {}  # oldest first
 
@@ -147,9 +148,17 @@
         """Count a change of the memory in use, and have connections leave if it exceeds the limit."""
         self.used_bytes += change_bytes
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+        self._recent_peak_bytes = max(self._recent_peak_bytes, self.used_bytes)
         if change_bytes > 0 and self.used_bytes > self.limits.max_bytes:
             self._shed()
 
+    def take_release(self, min_bytes: int) -> bool:
+        """Return whether ``min_bytes`` were given back since this was last true."""
+        if self._recent_peak_bytes - self.used_bytes < min_bytes:
+            return False
+        self._recent_peak_bytes = self.used_bytes
+        return True
+
     def _shed(self) -> None:
         """Ask connections to leave until the others fit, or none is left that may be asked.
 
--- a/sageturn/relay/connection_memory.py
+++ b/sageturn/relay/connection_memory.py
@@ -32,7 +32,6 @@
     def __init__(self, budget: MemoryBudget, trim: Callable[[], None] = trim_heap) -> None:
         self._budget = budget
         self._trim = trim
-        self._highest_bytes = 0  # highest use since the heap was trimmed last
 
     async def run(self) -> None:
         """Check and report until cancelled, and then report once more."""
@@ -50,11 +49,8 @@
 
     def check(self) -> None:
         """Trim the heap if enough memory was given back since the last time."""
-        used_bytes = self._budget.used_bytes
-        self._highest_bytes = max(self._highest_bytes, used_bytes)
-        if self._highest_bytes - used_bytes >= MIN_RELEASED_BYTES:
+        if self._budget.take_release(MIN_RELEASED_BYTES):
             self._trim()
-            self._highest_bytes = used_bytes
 
     def report(self) -> None:
         """Log one line with the budget's figures."""
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -136,8 +136,7 @@
     connections = Connections(MemoryLimits(1 << 30, 1 << 30))
     trims: list[None] = []
     monitor = ConnectionMemoryMonitor(connections.budget, lambda: trims.append(None))
-    account = connections.open("a", MIN_RELEASED_BYTES)
-    monitor.check()
+    account = connections.open("a", MIN_RELEASED_BYTES)  # between two checks
     account.release()
     for _ in range(3):
         monitor.check()
