Forget no id that may have run for ids of requests without an attempt

Cause: the ids of the last 4,096 ended requests are remembered, those of rejected requests too. A flood of requests that reach no endpoint pushed out the id of a client that had left, which ran again when it came a second time.

Change: ids of requests with an attempt and of those without are remembered apart, 4,096 each.

--- a/sageturn/frontends/platform/frontend.py
+++ b/sageturn/frontends/platform/frontend.py
@@ -56,16 +56,15 @@
         if request_line is None:
             return
         pending.mark_active()
+        connection = PlatformConnection(self._context, sock, buffer, request_line)
+        record = connection.lifecycle.record
+        pending.request_id = record.log_id
+        del buffer  # the connection releases it once it is established
         try:
-            connection = PlatformConnection(self._context, sock, buffer, request_line)
-            pending.request_id = connection.lifecycle.record.log_id
-            del buffer  # the connection releases it once it is established
-            try:
-                await self._context.run_request(connection.lifecycle)
-            finally:
-                connection.release()
+            await self._context.run_request(connection.lifecycle)
         finally:
-            self._request_ids.release(request_line.request_id)
+            connection.release()
+            self._request_ids.release(request_line.request_id, was_sent=record.attempts > 0)
 
     async def _answer_timed_out(self, sock: socket.socket, pending: PendingConnection) -> None:
         """Answer a client whose request line did not arrive in time, or that is evicted.
