Notice a client's end while its input waits for its endpoint

What callers saw: a client that left while its endpoint took nothing, or little at a time, was not noticed: its lines or stanzas were sent on, and the connection stayed until all was written or the endpoint timed out.

Cause: each direction reads the source only after the last write to the target has ended, so a reset or FIN behind unread input is not seen while a write waits.

An endpoint that reads gets all lines of a client that ended its sending.

A FIN that waits in the client's own kernel, behind data that the relay's has no room for, can't be seen by anyone.

--- a/sageturn/frontends/platform/line_forwarder.py
+++ b/sageturn/frontends/platform/line_forwarder.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from sageturn.frontends.platform.errors import ForwardingError
+from sageturn.net.source_end import SourceEndedError, SourceEndLimit
 
 BUFFER_BYTES = 8192
 MIN_FREE_BUFFER_BYTES = 4096  # capacity left for new data after the initial data
@@ -29,6 +30,7 @@
         target: socket.socket,
         on_lines: Callable[[bytearray, int], None],
         initial_data: bytes = b"",
+        source_end_limit: SourceEndLimit | None = None,
     ) -> None:
         """Prepare to forward from ``source`` to ``target``.
 
@@ -37,6 +39,7 @@
             target: the socket that is written.
             on_lines: called before lines are written, with the buffer and the end of its last complete line.
             initial_data: the bytes that were read from ``source`` before, which are forwarded first.
+            source_end_limit: limits the writes once ``source`` has closed; None if they may take any time.
         """
         self._source = source
         self._target = target
@@ -44,6 +47,7 @@
         self._buffer = bytearray(max(BUFFER_BYTES, len(initial_data) + MIN_FREE_BUFFER_BYTES))
         self._buffer[: len(initial_data)] = initial_data
         self._filled = len(initial_data)
+        self._source_end_limit = source_end_limit
         self._write_lock = asyncio.Lock()
         self._is_at_line_boundary = True
         self.forwarded_bytes = 0
@@ -95,7 +99,9 @@
             return
         async with self._write_lock:
             try:
-                await asyncio.get_running_loop().sock_sendall(self._target, view[:size])
+                await self._send(view[:size])
+            except SourceEndedError as error:
+                raise ForwardingError(source_failed=True) from error
             except OSError as error:
                 raise ForwardingError(source_failed=False) from error
             self.forwarded_bytes += size
@@ -104,6 +110,13 @@
             self._filled = unsent
             self._is_at_line_boundary = True
 
+    async def _send(self, data: memoryview) -> None:
+        sending = asyncio.get_running_loop().sock_sendall(self._target, data)
+        if self._source_end_limit is None:
+            await sending
+        else:
+            await self._source_end_limit.complete(sending)
+
     async def send_last_line(self, line: bytes) -> bool:
         """Write ``line``, the relay's own, between two forwarded lines, and block all later writes.
 
--- a/sageturn/frontends/platform/relaying.py
+++ b/sageturn/frontends/platform/relaying.py
@@ -20,6 +20,7 @@
     MOVE_TIMEOUT_S,
 )
 from sageturn.net.closing import close_gracefully, close_with_reset, shutdown_write
+from sageturn.net.source_end import SourceEndLimit
 
 MOVE = b"MOVE\r\n"
 
@@ -53,7 +54,10 @@
         self._lifecycle = lifecycle
         self._reply_parser = reply_parser
         self._to_client = LineForwarder(endpoint, client, self._on_endpoint_lines, endpoint_input)
-        self._to_endpoint = LineForwarder(client, endpoint, self._on_client_lines, client_input)
+        client_end_limit = SourceEndLimit(client, LAST_LINE_TIMEOUT_S)
+        self._to_endpoint = LineForwarder(
+            client, endpoint, self._on_client_lines, client_input, client_end_limit
+        )
         self._idle_timeout = IdleTimeout(
             asyncio.get_running_loop().time(), ENDPOINT_IDLE_TIMEOUT_S, CLIENT_LINE_INTERVAL_S
         )
--- a/sageturn/frontends/xmpp/relaying.py
+++ b/sageturn/frontends/xmpp/relaying.py
@@ -24,6 +24,7 @@
 from sageturn.frontends.xmpp.session import XmppSession
 from sageturn.frontends.xmpp.stream_parser import Stanza, StreamClosed
 from sageturn.net.closing import close_gracefully, close_with_reset
+from sageturn.net.source_end import SourceEndedError, SourceEndLimit
 
 STANZA_BOUNDARY_TIMEOUT_S = 0.7  # limit before a migration for the endpoint to complete a stanza
 STANZA_BOUNDARY_POLL_INTERVAL_S = 0.01
@@ -68,6 +69,7 @@
         self._idle_timeout = idle_timeout
         self._early_stanzas = deque(early_stanzas)
         self._client_write_lock = asyncio.Lock()
+        self._client_end_limit = SourceEndLimit(client.channel.sock, CLOSE_TIMEOUT_S)
 
     async def run(self, drain_requested: asyncio.Event) -> CloseReason:
         """Forward until either side closes, ``drain_requested`` is set or the endpoint times out.
@@ -202,7 +204,9 @@
         if _requires_response(event):
             self._idle_timeout.on_client_line_forwarded(asyncio.get_running_loop().time())
         try:
-            await self._endpoint.send(event.raw)
+            await self._client_end_limit.complete(self._endpoint.send(event.raw))
+        except SourceEndedError:
+            return StreamEnd(CloseReason.CLIENT_RESET)
         except OSError:
             return StreamEnd(CloseReason.RESET)
         return None
