--- a/sageturn/frontends/xmpp/session.py
+++ b/sageturn/frontends/xmpp/session.py
@@ -24,7 +24,10 @@
 
 STREAM_CLOSE = b"</stream:stream>"
 STREAM_ID_BYTES = 8  # random bytes, sent in hexadecimal
-FEED_BYTES = 512  # input that is parsed at a time: bounds the queued events, and a turn of the event loop
+# Input that is parsed at a time: it bounds the queued events, and a turn of the event loop. More is parsed
+# within a long stanza, which yields no event before its end.
+PIECE_BYTES = 512
+LONG_STANZA_PIECE_BYTES = 2048
 HELD_BYTES_STEP = 2048  # changes of the held memory below this are not reported
 
 
@@ -141,8 +144,9 @@
         return ReadResult.PARSED
 
     def _parse_piece(self) -> None:
-        piece = self._unparsed[:FEED_BYTES]
-        self._unparsed = self._unparsed[FEED_BYTES:]
+        size = LONG_STANZA_PIECE_BYTES if self.parser.is_mid_stanza else PIECE_BYTES
+        piece = self._unparsed[:size]
+        self._unparsed = self._unparsed[size:]
         self.received_bytes += len(piece)
         self.parser.feed(piece)
         self._report_held_bytes()
