Parse no input that arrives after the rest of it was discarded

Cause: a session whose input was discarded for lack of memory while it waited for more parsed the next piece; an error in it ended the stream before the client was asked to reconnect. Found by reading the change again.

Test: test_input_that_arrives_after_the_rest_was_discarded_is_not_parsed failed before.

--- a/sageturn/frontends/xmpp/session.py
+++ b/sageturn/frontends/xmpp/session.py
@@ -122,7 +122,8 @@
                 self._unparsed = await self.channel.receive()
                 if not self._unparsed:
                     return None
-            self._parse_piece()
+            if not self._is_discarded:  # while this waited
+                self._parse_piece()
         return self._take_event()
 
     def next_event_available(self) -> StreamEvent | ReadResult:
--- a/tests/frontends/test_stream_memory.py
+++ b/tests/frontends/test_stream_memory.py
@@ -22,6 +22,7 @@
 
 from sageturn.frontends.xmpp.errors import StreamError
 from sageturn.frontends.xmpp.namespaces import RELAY_NS
+from sageturn.frontends.xmpp.session import XmppSession
 from sageturn.frontends.xmpp.stanza_tree import MAX_REPORT_BYTES, MAX_TREE_BYTES
 from sageturn.frontends.xmpp.stream_parser import (
     EVENT_BYTES,
@@ -137,6 +138,34 @@
     assert [event.raw.decode() for event in found] == stanzas
 
 
+class HeldChannel:
+    """Channel that returns ``data`` again and again, each time once it is allowed to."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.allowed = asyncio.Event()
+
+    async def receive(self) -> bytes:
+        await self.allowed.wait()
+        await asyncio.sleep(0)
+        return self._data
+
+
+async def test_input_that_arrives_after_the_rest_was_discarded_is_not_parsed() -> None:
+    # The client is about to be moved; an error of its half stanza would have ended its stream first.
+    channel = HeldChannel(b"</wrong>")
+    session = XmppSession(channel)  # type: ignore[arg-type]
+    session.parser.feed(HEADER + b"<message><body>")
+    await session.expect_header()
+    reading = asyncio.ensure_future(session.next_event())
+    await asyncio.sleep(0)
+    session.discard_input()
+    channel.allowed.set()
+    await asyncio.wait((reading,), timeout=0.05)
+    assert not reading.done() and not session.parser.is_mid_stanza
+    reading.cancel()
+
+
 async def serve_lines(folder: Path) -> int:
     """Serve ten clients of the line protocol without garbage collections; return what is left for one."""
     async with running_relay(folder, echo_lines) as (relay, _):
