Let a relay run on whose heap can't be trimmed

Found by reading the change again.

Test: test_a_relay_whose_heap_can_not_be_trimmed_runs_on; without ctypes it failed before, without the call it passed.

--- a/sageturn/relay/connection_memory.py
+++ b/sageturn/relay/connection_memory.py
@@ -18,12 +18,16 @@
 
 
 def trim_heap() -> None:
-    """Return free memory within the heap to the system, where glibc would keep it."""
-    import ctypes  # not needed by a relay whose clients never leave many at a time
+    """Return free memory within the heap to the system, where glibc would keep it.
 
-    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)
-    if trim is not None:
-        trim(0)
+    Where Python has no ``ctypes``, or the C library no such call, the memory stays with the process.
+    """
+    try:
+        import ctypes  # not needed by a relay whose clients never leave many at a time
+
+        ctypes.CDLL(None).malloc_trim(0)
+    except (ImportError, OSError, AttributeError) as error:
+        log.debug("heap not trimmed reason=%r", error)
 
 
 class ConnectionMemoryMonitor:
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import sys
 from functools import partial
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -10,7 +13,7 @@
 
 from sageturn.net.admission import AdmissionController, PendingConnection, ProcessLimits
 from sageturn.net.memory_budget import ConnectionMemory, HeldFor, MemoryBudget, MemoryLimits
-from sageturn.relay.connection_memory import MIN_RELEASED_BYTES, ConnectionMemoryMonitor
+from sageturn.relay.connection_memory import MIN_RELEASED_BYTES, ConnectionMemoryMonitor, trim_heap
 
 LIMITS = MemoryLimits(max_bytes=1000, admission_bytes=800)
 ADDRESS = ("127.0.0.1", 1)
@@ -132,6 +135,13 @@
     assert pending.is_evicted and not admission.pending_count
 
 
+@pytest.mark.parametrize("module", [None, SimpleNamespace(CDLL=lambda name: SimpleNamespace())])
+def test_a_relay_whose_heap_can_not_be_trimmed_runs_on(monkeypatch: pytest.MonkeyPatch, module: Any) -> None:
+    # An error here would end the actor, and the relay with it.
+    monkeypatch.setitem(sys.modules, "ctypes", module)
+    trim_heap()
+
+
 def test_the_heap_is_trimmed_once_for_each_drop() -> None:
     connections = Connections(MemoryLimits(1 << 30, 1 << 30))
     trims: list[None] = []
