Admit a large connection only once evictions have made enough room for it

Cause: with the memory used up one pending connection was evicted for each new one, whatever their shares. Small pending connections that were replaced by large ones took the sum of the shares over the budget.

Change: pending connections are evicted until what is free, or about to be, is enough; if it is not, the new one is rejected.

Not played over sockets.

--- a/sageturn/net/admission.py
+++ b/sageturn/net/admission.py
@@ -16,9 +16,7 @@
 BYTES_PER_MB = 1 << 20
 BASE_MEMORY_MB = 26.0  # memory of a relay without connections
 BUDGET_RATIO = 0.9  # part of the rest that connections may use; what is left covers heap fragmentation
-ADMISSION_RATIO = (
-    0.85  # part of that for standing shares; what is left is for input that is held for a moment
-)
+ADMISSION_RATIO = 0.85  # part of that for standing shares; the rest is for input held for a moment
 LINE_CONNECTION_BYTES = 48 * 1024  # an established connection of two sockets without TLS, both sides
 MAX_PENDING_MEMORY_RATIO = 0.5
 PENDING_DESCRIPTOR_RATIO = 1.0 / 6.0  # the rest serves requests (two each), closing sockets, files
@@ -92,8 +90,7 @@
                 self._timeout.reschedule(0.0)
 
     def _on_shed(self) -> None:
-        self._admission.mark_active(self)
-        self.evict()
+        self._admission.evict(self)
 
     def mark_active(self) -> None:
         """Exempt the connection from eviction. Called once it has sent a valid request."""
@@ -111,6 +108,7 @@
         self.connection_count = 0
         self._pending: dict[PendingConnection, None] = {}  # oldest first
         self._pending_bytes = 0  # sum of their standing shares
+        self._leaving_bytes = 0  # sum of the shares of evicted connections that are still open
 
     @property
     def limits(self) -> ProcessLimits:
@@ -130,9 +128,12 @@
     def make_room(self, standing_bytes: int) -> bool:
         """Return whether a connection with this standing share can be admitted.
 
-        The oldest pending connection is evicted for it where the memory is used up.
+        Pending connections are evicted for it, the oldest first, until enough is free or about to be.
         """
-        return self.memory.has_room_for(standing_bytes) or self.evict_oldest_pending()
+        while not self.memory.has_room_for(standing_bytes - self._leaving_bytes):
+            if not self.evict_oldest_pending():
+                return False
+        return True
 
     def admit(
         self, peer: Address, listener: Address, standing_bytes: int = LINE_CONNECTION_BYTES
@@ -157,10 +158,16 @@
         oldest = next(iter(self._pending), None)
         if oldest is None:
             return False
-        self.mark_active(oldest)
-        oldest.evict()
+        self.evict(oldest)
         return True
 
+    def evict(self, connection: PendingConnection) -> None:
+        """End a pending connection, once; its share counts as free from now on."""
+        self.mark_active(connection)
+        if not connection.is_evicted:
+            self._leaving_bytes += connection.memory.standing_bytes
+            connection.evict()
+
     def evict_all_pending(self) -> None:
         """Evict all pending connections. Called when the relay shuts down."""
         while self.evict_oldest_pending():
@@ -175,5 +182,7 @@
     def release(self, connection: PendingConnection) -> None:
         """Stop counting ``connection``. Called once its socket is closed."""
         self.mark_active(connection)
+        if connection.is_evicted:
+            self._leaving_bytes -= connection.memory.standing_bytes
         connection.memory.release()
         self.connection_count -= 1
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -113,7 +113,7 @@
 @pytest.mark.parametrize("memory_mb", [32.0, 56.0, 96.0, 192.0])
 @pytest.mark.parametrize("standing_kb", [48, 72, 136, 200])
 async def test_the_sum_of_all_shares_stays_well_under_the_limit(memory_mb: float, standing_kb: int) -> None:
-    # review/10: each connection counted as 48 KiB, whatever it spoke.
+    # Each connection counted alike, whatever it spoke.
     admission = AdmissionController(ProcessLimits(1024, memory_mb))
     admitted: list[PendingConnection] = []
     while admission.make_room(standing_kb * 1024):
@@ -127,6 +127,23 @@
     assert admission.memory.used_bytes == 0
 
 
+async def test_small_pending_connections_make_no_room_for_as_many_large_ones() -> None:
+    # One small pending connection was evicted for each large one, and the sum of the shares had no bound.
+    admission = AdmissionController(ProcessLimits(1024, 56.0))
+    small: list[PendingConnection] = []
+    while admission.memory.has_room_for(48 * 1024):
+        small.append(admission.admit(ADDRESS, ADDRESS, 48 * 1024))
+        if len(small) > 300:
+            small[-1].mark_active()
+    while admission.make_room(200 * 1024):
+        admission.admit(ADDRESS, ADDRESS, 200 * 1024).mark_active()
+    for connection in small:
+        if connection.is_evicted:
+            admission.release(connection)
+    assert 0 < admission.memory.used_bytes <= admission.memory.limits.admission_bytes
+    assert admission._leaving_bytes == 0
+
+
 async def test_new_limits_hold_for_the_connections_that_are_there() -> None:
     admission = AdmissionController(ProcessLimits(1024, 192.0))
     pending = admission.admit(ADDRESS, ADDRESS)
