Keep the share of a connection that is served although it was evicted

Cause: a connection whose request is complete in the turn in which it is evicted is served, and its share counted as about to be free for as long as it lived, so that another was admitted in its place.

Test: test_a_connection_that_is_served_although_it_was_evicted_keeps_its_share failed before (one share more than may be admitted).

--- a/sageturn/net/admission.py
+++ b/sageturn/net/admission.py
@@ -96,6 +96,9 @@
         """Exempt the connection from eviction. Called once it has sent a valid request."""
         self.memory.activate()
         self._admission.mark_active(self)
+        if self.is_evicted:  # its request was complete before the eviction took effect
+            self.is_evicted = False
+            self._admission.on_eviction_ended(self)
 
 
 class AdmissionController:
@@ -168,6 +171,10 @@
             self._leaving_bytes += connection.memory.standing_bytes
             connection.evict()
 
+    def on_eviction_ended(self, connection: PendingConnection) -> None:
+        """Stop counting the share of an evicted connection as about to be free: it is, or will not be."""
+        self._leaving_bytes -= connection.memory.standing_bytes
+
     def evict_all_pending(self) -> None:
         """Evict all pending connections. Called when the relay shuts down."""
         while self.evict_oldest_pending():
@@ -183,6 +190,6 @@
         """Stop counting ``connection``. Called once its socket is closed."""
         self.mark_active(connection)
         if connection.is_evicted:
-            self._leaving_bytes -= connection.memory.standing_bytes
+            self.on_eviction_ended(connection)
         connection.memory.release()
         self.connection_count -= 1
--- a/tests/net/test_memory_budget.py
+++ b/tests/net/test_memory_budget.py
@@ -144,6 +144,19 @@
     assert admission._leaving_bytes == 0
 
 
+async def test_a_connection_that_is_served_although_it_was_evicted_keeps_its_share() -> None:
+    # Its request was complete in the turn of the event loop in which it was evicted.
+    admission = AdmissionController(ProcessLimits(1024, 32.0))
+    evicted = admission.admit(ADDRESS, ADDRESS)
+    admission.evict_oldest_pending()
+    evicted.mark_active()
+    while admission.make_room(48 * 1024):
+        admission.admit(ADDRESS, ADDRESS).mark_active()
+    assert admission.memory.used_bytes <= admission.memory.limits.admission_bytes
+    admission.release(evicted)
+    assert admission._leaving_bytes == 0 and admission.make_room(48 * 1024)
+
+
 async def test_new_limits_hold_for_the_connections_that_are_there() -> None:
     admission = AdmissionController(ProcessLimits(1024, 192.0))
     pending = admission.admit(ADDRESS, ADDRESS)
