End an adoption whose key's window is too short to be halved

Change: the halved window is what has to be above 0. The example is part of the test now and failed before; 30,000 further examples pass.

--- a/sageturn/decision/adoption.py
+++ b/sageturn/decision/adoption.py
@@ -106,9 +106,10 @@
         if self._arrived_attempts >= self._max_attempts:
             return EndAdoption(RejectCause.ATTEMPTS_EXHAUSTED)
         window_ms = math.inf if self._first_execution_ms is None else self._repeat_window_ms(now_ms)
-        if window_ms <= 0.0:
+        max_delay_ms = window_ms / 2.0
+        if max_delay_ms <= 0.0:
             return EndAdoption(RejectCause.MAY_HAVE_RUN)
-        delay_ms = min(self._delay_ms(), window_ms / 2.0)
+        delay_ms = min(self._delay_ms(), max_delay_ms)
         if now_ms + delay_ms >= self._deadline_ms:
             return EndAdoption(RejectCause.LATE)
         return RetryAdoption(delay_ms)
--- a/tests/decision/test_adoption.py
+++ b/tests/decision/test_adoption.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from sageturn.decision import AttemptStatus, Effect, RequestClass, Settings
@@ -96,6 +96,7 @@
     wait_ms=st.floats(0.0, 60000.0),
     seed=st.integers(0, 1000),
 )
+@example(effect=Effect.KEYED, max_attempts=2, key_ttl_ms=5e-324, wait_ms=16.0, seed=3)  # half of it is 0
 def test_every_plan_ends_in_time_and_keeps_the_rules_on_attempts(
     effect: Effect, max_attempts: int, key_ttl_ms: float, wait_ms: float, seed: int
 ) -> None:
